Add the design page, the build and the kernel with its HTTP wrappers

Cause: nothing existed. The design page fixes modules, state, owners, messages and failure handling for today's four entry instances and for the target of 1,500.

Change: core (clock, errors, result, digests, JSON log), kernel (event loop, timers, service registry), http (libevhtp server, evhttp client that tells "not sent" from "interrupted"), typed messages between the services, and the build, format and lint scripts.

A failed connect is reported by evhttp as a request without a status and without an error callback, which is what "not sent" relies on.

--- /dev/null
+++ b/corneltally/core/json_log.cpp
@@ -0,0 +1,143 @@
+#include "corneltally/core/json_log.h"
+
+#include <array>
+#include <cstdio>
+#include <ctime>
+
+#include <glog/logging.h>
+
+namespace corneltally::core {
+
+namespace {
+
+std::string sInstance;
+
+std::string timestamp()
+{
+    timespec now{};
+    clock_gettime(CLOCK_REALTIME, &now);
+    tm parts{};
+    gmtime_r(&now.tv_sec, &parts);
+    std::array<char, 64> text{};
+    const std::size_t length = std::strftime(text.data(), text.size(), "%Y-%m-%dT%H:%M:%S", &parts);
+    std::snprintf(text.data() + length, text.size() - length, ".%03ldZ", now.tv_nsec / 1'000'000);
+    return text.data();
+}
+
+std::string_view levelName(log_level inLevel)
+{
+    switch (inLevel) {
+    case log_level::info:
+        return "info";
+    case log_level::warning:
+        return "warning";
+    case log_level::error:
+        break;
+    }
+    return "error";
+}
+
+void appendValue(std::string &ioLine, const log_value &inValue)
+{
+    if (const auto *text = std::get_if<std::string_view>(&inValue)) {
+        ioLine.append("\"").append(jsonEscape(*text)).append("\"");
+    } else if (const auto *number = std::get_if<double>(&inValue)) {
+        std::array<char, 32> digits{};
+        std::snprintf(digits.data(), digits.size(), "%.6g", *number);
+        ioLine.append(digits.data());
+    } else if (const auto *integer = std::get_if<long long>(&inValue)) {
+        ioLine.append(std::to_string(*integer));
+    } else {
+        ioLine.append(std::get<bool>(inValue) ? "true" : "false");
+    }
+}
+
+void writeLine(log_level inLevel, std::string_view inEvent,
+               std::initializer_list<log_field> inFields)
+{
+    std::string line = "{\"time\":\"" + timestamp() + "\",\"level\":\"";
+    line.append(levelName(inLevel)).append("\",\"instance\":\"").append(jsonEscape(sInstance));
+    line.append("\",\"event\":\"").append(jsonEscape(inEvent)).append("\"");
+    for (const log_field &field : inFields) {
+        line.append(",\"").append(jsonEscape(field.name)).append("\":");
+        appendValue(line, field.value);
+    }
+    line.append("}\n");
+    std::fwrite(line.data(), 1, line.size(), stderr);
+}
+
+/// Turns the lines of glog (also those of libraries) into JSON lines.
+class json_sink : public google::LogSink
+{
+public:
+    void send(google::LogSeverity inSeverity, const char * /*inFullName*/, const char *inFile,
+              int inLine, const google::LogMessageTime & /*inTime*/, const char *inMessage,
+              std::size_t inLength) override
+    {
+        const log_level level = inSeverity == google::GLOG_INFO ? log_level::info
+            : inSeverity == google::GLOG_WARNING                ? log_level::warning
+                                                                : log_level::error;
+        writeLine(level, "log",
+                  {{"message", std::string_view(inMessage, inLength)},
+                   {"file", inFile},
+                   {"line", inLine}});
+    }
+};
+
+} // namespace
+
+void initializeLog(const char *inProgram, std::string_view inInstance)
+{
+    static json_sink sSink;
+    sInstance = inInstance;
+    google::InitGoogleLogging(inProgram);
+    // The sink writes to standard error itself; glog's own text output would double each line.
+    FLAGS_logtostderr = false;
+    FLAGS_stderrthreshold = google::NUM_SEVERITIES;
+    for (int severity = google::GLOG_INFO; severity < google::NUM_SEVERITIES; ++severity)
+        google::SetLogDestination(severity, "");
+    google::AddLogSink(&sSink);
+}
+
+void logEvent(log_level inLevel, std::string_view inEvent,
+              std::initializer_list<log_field> inFields)
+{
+    writeLine(inLevel, inEvent, inFields);
+}
+
+std::string jsonEscape(std::string_view inText)
+{
+    std::string text;
+    text.reserve(inText.size());
+    for (const char character : inText) {
+        switch (character) {
+        case '"':
+            text.append("\\\"");
+            break;
+        case '\\':
+            text.append("\\\\");
+            break;
+        case '\n':
+            text.append("\\n");
+            break;
+        case '\r':
+            text.append("\\r");
+            break;
+        case '\t':
+            text.append("\\t");
+            break;
+        default:
+            if (static_cast<unsigned char>(character) < 0x20U) {
+                std::array<char, 8> code{};
+                std::snprintf(code.data(), code.size(), "\\u%04x",
+                              static_cast<unsigned>(character));
+                text.append(code.data());
+            } else {
+                text.push_back(character);
+            }
+        }
+    }
+    return text;
+}
+
+} // namespace corneltally::core
--- /dev/null
+++ b/corneltally/entry/claims_messages.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "corneltally/core/boot_clock.h"
+#include "corneltally/core/error.h"
+
+#include <cstdint>
+#include <string>
+
+namespace corneltally::entry {
+
+/// Claims an idempotency key for a request; answered to the front end by claim_result.
+struct claim_begin
+{
+    std::string requestId;
+    /// Digest of client account, route and the caller's idempotency key.
+    std::string key;
+    std::string requestDigest;
+    core::time_point deadline;
+};
+
+/// The request of a pending claim was given up; nothing was or will be dispatched.
+struct claim_cancel
+{
+    std::string requestId;
+};
+
+enum class claim_outcome : std::uint8_t {
+    /// This request holds the key and may be dispatched.
+    granted,
+    /// Another request ran; its answer is attached.
+    answered,
+    /// The key was used for a different request.
+    conflict,
+    /// Another request holds the key and its result is not known.
+    unknown,
+    /// The claim could not be ordered; the request was not and will not be run.
+    refused,
+};
+
+/// Answer to claim_begin.
+struct claim_result
+{
+    std::string requestId;
+    claim_outcome outcome = claim_outcome::refused;
+    std::string claimId;
+    int status = 0;
+    std::string contentType;
+    std::string body;
+    core::error error;
+    int retryAfterSeconds = 0;
+};
+
+/// The claimed request completed; its answer is kept for repeats.
+struct claim_finish
+{
+    std::string key;
+    std::string claimId;
+    int status = 0;
+    std::string contentType;
+    std::string body;
+};
+
+/// The claimed request certainly did not run; the key may be claimed again.
+struct claim_release
+{
+    std::string key;
+    std::string claimId;
+};
+
+} // namespace corneltally::entry
--- /dev/null
+++ b/corneltally/http/client.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include "corneltally/core/boot_clock.h"
+#include "corneltally/http/message.h"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace corneltally::kernel {
+class event_loop;
+}
+
+namespace corneltally::http {
+
+/// How a client call ended.
+enum class call_outcome {
+    completed,
+    /// The connection could not be opened: no byte of the request was sent.
+    not_sent,
+    /// The connection ended or timed out after bytes may have been sent.
+    interrupted,
+};
+
+/// A request of a client.
+struct call_request
+{
+    address target;
+    std::string method = "GET";
+    /// Path with the query.
+    std::string path;
+    header_list headers;
+    std::string body;
+    /// From the start to the last byte of the answer.
+    core::duration timeout = std::chrono::seconds(30);
+    /// Longest time without a byte of the answer; zero means no such limit.
+    core::duration idleTimeout{};
+    /// Uses a new connection, so that a failed connect proves that nothing was sent.
+    bool freshConnection = false;
+};
+
+/// What a client call reports. All are called from the loop, never from inside call().
+struct call_events
+{
+    std::function<void(int inStatus, const header_list &inHeaders)> onHead;
+    std::function<void(std::string_view inData)> onData;
+    /// Called exactly once, last, unless the call was cancelled.
+    std::function<void(call_outcome inOutcome)> onEnd;
+};
+
+/// HTTP/1.1 client with connections kept alive per target. A connection on which a call was
+/// interrupted or cancelled is closed and never used again.
+class client
+{
+public:
+    explicit client(kernel::event_loop &inLoop);
+    ~client();
+    client(const client &) = delete;
+    client &operator=(const client &) = delete;
+
+    using call_id = std::uint64_t;
+
+    call_id call(call_request inRequest, call_events inEvents);
+
+    /// Closes the connection of a call; its events are not called any more.
+    void cancel(call_id inCall);
+
+private:
+    struct implementation;
+    std::unique_ptr<implementation> mImplementation;
+};
+
+/// A complete answer, for calls that need no streaming.
+struct response
+{
+    call_outcome outcome = call_outcome::interrupted;
+    int status = 0;
+    header_list headers;
+    std::string body;
+};
+
+/// Makes a call and collects the whole answer.
+client::call_id fetch(client &inClient, call_request inRequest,
+                      std::function<void(const response &)> inHandler);
+
+} // namespace corneltally::http
--- /dev/null
+++ b/corneltally/kernel/event_loop.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "corneltally/core/boot_clock.h"
+
+#include <functional>
+#include <memory>
+#include <vector>
+
+struct event;
+struct event_base;
+
+namespace corneltally::kernel {
+
+/// The one event loop of a process. All services run on it; only one thread may use it.
+class event_loop
+{
+public:
+    event_loop();
+    ~event_loop();
+    event_loop(const event_loop &) = delete;
+    event_loop &operator=(const event_loop &) = delete;
+
+    /// Runs until stop() is called.
+    void run();
+
+    /// Ends run() after the current callback.
+    void stop();
+
+    /// Queues a task to run from the loop, never inside the call.
+    void post(std::function<void()> inTask);
+
+    /// Calls a handler with the process's signal number when the signal arrives.
+    void onSignal(int inSignal, std::function<void()> inHandler);
+
+    event_base *base() const { return mBase; }
+
+private:
+    struct signal_watch;
+
+    void runPosted();
+
+    event_base *mBase;
+    event *mWakeEvent;
+    std::vector<std::function<void()>> mPosted;
+    std::vector<std::unique_ptr<signal_watch>> mSignals;
+};
+
+} // namespace corneltally::kernel
