Add the peer table

Cause: the peers service needs to know which instances are live, from heartbeats alone.

Change: membership/peer_table keeps incarnation, last progress and a sticky drain flag for each instance that the tree names; suspect after 1 s, down after 2 s; a greater incarnation replaces an older one, and one under the own name marks this process as superseded.

A suspect peer still counts as live, so that a fresh connection can be tried before its endpoints are taken over.

--- /dev/null
+++ b/corneltally/membership/peer_table.h
@@ -0,0 +1,116 @@
+#pragma once
+
+#include "corneltally/core/boot_clock.h"
+
+#include <chrono>
+#include <compare>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace corneltally::membership {
+
+/// How recently an instance made progress.
+enum class peer_state : std::uint8_t {
+    /// Listed in the tree, not heard from since this process started.
+    unknown,
+    live,
+    /// Silent for longer than peer_table::cSuspectAfter: a fresh connection should be tried.
+    suspect,
+    down,
+};
+
+/// What a sign of life changed.
+enum class heard_outcome : std::uint8_t {
+    /// From the incarnation that is known; its last progress was renewed.
+    current,
+    /// First sign of life, or of a newer incarnation that replaces the older one.
+    replaced,
+    /// From an older incarnation than the known one; ignored.
+    outdated,
+    /// From a newer incarnation under this instance's own name: this process must stop.
+    superseded,
+    /// From this process itself, or from a name that the tree does not list; ignored.
+    ignored,
+};
+
+/// Which instances are live, from one instance's point of view.
+class peer_table
+{
+public:
+    /// Missed heartbeats (250 ms) before a peer is suspect, and before it is down.
+    static constexpr core::duration cSuspectAfter = std::chrono::seconds(1);
+    static constexpr core::duration cDownAfter = std::chrono::seconds(2);
+
+    /// What is known of one peer.
+    struct entry
+    {
+        std::uint64_t incarnation = 0;
+        std::optional<core::time_point> lastProgress;
+        /// Stays set for the rest of the incarnation.
+        bool draining = false;
+
+        friend auto operator<=>(const entry &, const entry &) = default;
+    };
+
+    /// Names of instances by state, ordered by name.
+    struct view
+    {
+        /// Includes suspect instances, and this instance unless it drains.
+        std::vector<std::string> live;
+        std::vector<std::string> draining;
+
+        friend auto operator<=>(const view &, const view &) = default;
+    };
+
+    peer_table(std::string inOwnName, std::uint64_t inOwnIncarnation);
+
+    const std::string &ownName() const { return mOwnName; }
+    std::uint64_t ownIncarnation() const { return mOwnIncarnation; }
+
+    /// Replaces the list of instances that the tree names. Peers that are no longer named are
+    /// forgotten.
+    void setInstances(const std::vector<std::string> &inNames);
+
+    /// Records a hello, heartbeat or other frame of a peer.
+    heard_outcome heard(std::string_view inName, std::uint64_t inIncarnation, bool inDraining,
+                        core::time_point inNow);
+
+    /// Records bytes received on a connection whose hello named this incarnation.
+    heard_outcome progressed(std::string_view inName, std::uint64_t inIncarnation,
+                             core::time_point inNow);
+
+    /// This instance no longer takes new work.
+    void startDrain() { mDraining = true; }
+    bool isDraining() const { return mDraining; }
+
+    /// A newer process runs under this instance's name.
+    bool isSuperseded() const { return mSuperseded; }
+
+    peer_state stateOf(std::string_view inName, core::time_point inNow) const;
+    view viewAt(core::time_point inNow) const;
+
+    /// Peers of a state, ordered by name.
+    std::vector<std::string> peersIn(peer_state inState, core::time_point inNow) const;
+
+    /// Earliest time at which a state changes if no peer makes progress; none if there is nothing
+    /// left to expire.
+    std::optional<core::time_point> nextChange(core::time_point inNow) const;
+
+    const std::map<std::string, entry, std::less<>> &entries() const { return mEntries; }
+
+private:
+    static peer_state sStateOf(const entry &inEntry, core::time_point inNow);
+
+    std::string mOwnName;
+    std::uint64_t mOwnIncarnation;
+    bool mDraining = false;
+    bool mSuperseded = false;
+    std::map<std::string, entry, std::less<>> mEntries;
+};
+
+} // namespace corneltally::membership
