--- /dev/null
+++ b/corneltally/scheduling/placement.cpp
@@ -0,0 +1,78 @@
+#include "corneltally/scheduling/placement.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace corneltally::scheduling {
+
+namespace {
+
+/// Below this demand an adapter without runs is forgotten.
+constexpr double cNegligibleDemand = 0.05;
+
+} // namespace
+
+placement::placement(placement_settings inSettings)
+    : mSettings(inSettings)
+{ }
+
+void placement::started(std::string_view inAdapter, core::time_point inNow)
+{
+    ++advance(inAdapter, inNow).running;
+}
+
+void placement::ended(std::string_view inAdapter, core::time_point inNow)
+{
+    adapter_state &state = advance(inAdapter, inNow);
+    state.running = std::max(0, state.running - 1);
+}
+
+int placement::copies(std::string_view inAdapter, double inShare, core::time_point inNow)
+{
+    const auto found = mAdapters.find(std::string(inAdapter));
+    if (found == mAdapters.end())
+        return 1;
+    adapter_state &state = found->second;
+    // Growth follows the present number of runs at once, shrinking follows the average.
+    const double share = std::clamp(inShare, 0.001, 1.0);
+    const double average = decayed(state, inNow) / share;
+    const double present = std::max(average, state.running / share);
+    state.copies
+        = std::max(state.copies, static_cast<int>(std::ceil(present / mSettings.copyDemand)));
+    while (state.copies > 1
+           && average < (state.copies - 1) * mSettings.copyDemand / mSettings.hysteresis
+           && present <= (state.copies - 1) * mSettings.copyDemand)
+        --state.copies;
+    return state.copies;
+}
+
+double placement::demand(std::string_view inAdapter, core::time_point inNow) const
+{
+    const auto found = mAdapters.find(std::string(inAdapter));
+    return found == mAdapters.end() ? 0 : decayed(found->second, inNow);
+}
+
+void placement::prune(core::time_point inNow)
+{
+    std::erase_if(mAdapters, [&](const auto &inEntry) {
+        return inEntry.second.running == 0 && decayed(inEntry.second, inNow) < cNegligibleDemand;
+    });
+}
+
+double placement::decayed(const adapter_state &inState, core::time_point inNow) const
+{
+    const double elapsed = static_cast<double>((inNow - inState.updated).count());
+    const double keep
+        = std::exp2(-std::max(0.0, elapsed) / static_cast<double>(mSettings.halfLife.count()));
+    return inState.running + (inState.average - inState.running) * keep;
+}
+
+placement::adapter_state &placement::advance(std::string_view inAdapter, core::time_point inNow)
+{
+    adapter_state &state = mAdapters.try_emplace(std::string(inAdapter)).first->second;
+    state.average = decayed(state, inNow);
+    state.updated = inNow;
+    return state;
+}
+
+} // namespace corneltally::scheduling
