--- /dev/null
+++ b/corneltally/entry/caller_request.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "corneltally/core/result.h"
+#include "corneltally/entry/run.h"
+#include "corneltally/http/message.h"
+
+#include <string>
+#include <string_view>
+
+namespace corneltally::settings {
+class catalog;
+struct route_view;
+} // namespace corneltally::settings
+
+namespace corneltally::entry {
+
+/// A request as it was received. The views must outlive the calls that take it.
+struct received_request
+{
+    std::string_view method;
+    std::string_view path;
+    std::string_view body;
+    const http::header_list &headers;
+};
+
+/// Who sent a request. Both are empty on an open route without a key.
+struct caller_identity
+{
+    std::string account;
+    std::string keyDigest;
+};
+
+/// Longest body of a request: with its envelope it has to fit into a frame between instances.
+inline constexpr std::size_t cMaxCallerBodyBytes = 960 * 1024;
+
+/// Tokens that are reserved for the answer of a request that names no limit.
+inline constexpr long long cDefaultMaxTokens = 256;
+
+/// Greatest limit that a request may name.
+inline constexpr long long cGreatestMaxTokens = 1'000'000;
+
+/// The key of the Authorization header; empty if there is none.
+std::string_view bearerKey(const http::header_list &inHeaders);
+
+/// Finds the client account of the caller's key and checks its right to the route.
+core::result<caller_identity> identifyCaller(const settings::catalog &inCatalog,
+                                             const settings::route_view &inRoute,
+                                             const http::header_list &inHeaders);
+
+/// Checks a request against its route and the catalog, and builds the run from it. The request id,
+/// the account, the order id and the deadline are left for the caller to fill in.
+core::result<run> buildRun(const settings::catalog &inCatalog, const settings::route_view &inRoute,
+                           const received_request &inRequest);
+
+/// Key of the claim of a request: digest of client account, route and idempotency key.
+std::string claimKeyOf(std::string_view inAccount, std::string_view inRoute,
+                       std::string_view inIdempotencyKey);
+
+/// Digest that tells whether two requests with the same key are the same request.
+std::string requestDigestOf(const received_request &inRequest);
+
+} // namespace corneltally::entry
--- /dev/null
+++ b/corneltally/entry/front_end_service.h
@@ -0,0 +1,120 @@
+#pragma once
+
+#include "corneltally/entry/admission_messages.h"
+#include "corneltally/entry/caller_run.h"
+#include "corneltally/entry/claims_messages.h"
+#include "corneltally/entry/run_event.h"
+#include "corneltally/entry/settings_messages.h"
+#include "corneltally/http/server.h"
+#include "corneltally/kernel/service.h"
+#include "corneltally/kernel/timer.h"
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace corneltally::kernel {
+class service_registry;
+}
+namespace corneltally::settings {
+struct account_view;
+struct route_view;
+} // namespace corneltally::settings
+
+namespace corneltally::entry {
+
+class metrics;
+
+/// What the front end takes from the process settings.
+struct front_end_options
+{
+    std::string instance;
+    std::uint64_t incarnation = 0;
+    http::address listen;
+    std::uint64_t maxConnections = 10'000;
+};
+
+/// Serves the callers: checks keys and requests, has them admitted and claimed, starts runs and
+/// writes the answers.
+class front_end_service : public kernel::service
+{
+public:
+    front_end_service(kernel::service_registry &inRegistry, metrics &inMetrics,
+                      front_end_options inOptions);
+    ~front_end_service() override;
+
+    std::string_view name() const override { return "front_end"; }
+    void start() override;
+    std::string dump() const override;
+
+    /// Binds the listener; returns false if the address is taken.
+    bool listen();
+    unsigned short port() const { return mServer.port(); }
+
+private:
+    using exchange_pointer = std::shared_ptr<http::exchange>;
+
+    /// What is watched of an answer that the caller has not fully taken.
+    struct write_watch
+    {
+        exchange_pointer caller;
+        std::size_t pending = 0;
+        core::time_point lastProgress;
+    };
+
+    void receive(const exchange_pointer &inCaller);
+    void serve(const exchange_pointer &inCaller);
+    void listModels(const exchange_pointer &inCaller);
+    void refuse(const exchange_pointer &inCaller, const caller_error &inError,
+                std::string_view inAccount);
+    std::optional<caller_error> checkSettingsAge(std::string_view inAccount) const;
+    void begin(const exchange_pointer &inCaller, const settings::route_view &inRoute, run inRun,
+               std::string inKeyDigest);
+    std::optional<core::error> readClaim(caller_run &ioRun, const settings::route_view &inRoute);
+
+    void continueAdmitted(const admission_result &inResult);
+    void claimOrStart(caller_run &ioRun);
+    void continueClaimed(const claim_result &inResult);
+    void startRun(caller_run &ioRun);
+    void takeEvent(const run_event &inEvent);
+    void takeEnd(caller_run &ioRun, const run_end &inEnd);
+    void callerLeft(const std::string &inRequestId);
+    void failRun(caller_run &ioRun, const caller_error &inError, std::string_view inEndpoint = {});
+    void stopRun(caller_run &ioRun, const caller_error &inError);
+
+    void settleTokens(caller_run &ioRun, double inUsed);
+    /// Logs and counts the request and forgets it.
+    void complete(caller_run &ioRun, std::string_view inOutcome, std::string_view inEndpoint);
+    void watchWrites(const exchange_pointer &inCaller);
+
+    void applyCatalog(const catalog_changed &inChange);
+    void sweep();
+    void closeStalledCallers(core::time_point inNow);
+    void resumeHeld();
+    void checkDrained();
+    std::string nextRequestId();
+
+    kernel::service_registry &mRegistry;
+    metrics &mMetrics;
+    front_end_options mOptions;
+    http::server mServer;
+    kernel::timer mSweep;
+    std::shared_ptr<const settings::catalog> mCatalog;
+    std::unordered_map<std::string, std::unique_ptr<caller_run>> mRuns;
+    std::vector<write_watch> mWrites;
+    /// Requests that arrived after a pause, until the tree is known to be current.
+    std::vector<exchange_pointer> mHeld;
+    std::optional<core::time_point> mHoldUntil;
+    std::optional<core::time_point> mConfirmedAt;
+    std::optional<core::time_point> mDrainingSince;
+    core::time_point mLastRequest;
+    bool mDrainReported = false;
+    std::uint64_t mFinishedInDrain = 0;
+    std::uint64_t mRequestCount = 0;
+};
+
+} // namespace corneltally::entry
--- /dev/null
+++ b/corneltally/entry/metrics.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "corneltally/core/boot_clock.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace corneltally::entry {
+
+/// Counters and latencies of the process, written in the text format of Prometheus. Names may
+/// carry labels, as in requests_total{outcome="completed"}.
+class metrics
+{
+public:
+    metrics();
+    ~metrics();
+    metrics(const metrics &) = delete;
+    metrics &operator=(const metrics &) = delete;
+
+    void count(std::string_view inName, std::uint64_t inAmount = 1);
+    void setGauge(std::string_view inName, double inValue);
+    /// Records a duration under a name without labels.
+    void observe(std::string_view inName, core::duration inValue);
+
+    std::string toText() const;
+
+private:
+    struct latency;
+
+    std::map<std::string, std::uint64_t, std::less<>> mCounters;
+    std::map<std::string, double, std::less<>> mGauges;
+    std::map<std::string, std::unique_ptr<latency>, std::less<>> mLatencies;
+};
+
+} // namespace corneltally::entry
--- a/corneltally/entry/peers_service.cpp
+++ b/corneltally/entry/peers_service.cpp
@@ -2,6 +2,7 @@
 
 #include "corneltally/core/json_log.h"
 #include "corneltally/kernel/service_registry.h"
+#include "corneltally/peer/frame.h"
 #include "corneltally/settings/catalog.h"
 
 #include <algorithm>
--- a/corneltally/settings/catalog.h
+++ b/corneltally/settings/catalog.h
@@ -49,6 +49,8 @@
         return mInstances;
     }
     std::size_t adapterCount() const { return mAdapters.size(); }
+    /// All adapters by name, in no order.
+    const auto &adapters() const { return mAdapters; }
 
     /// Fleet-wide limits of the weight store, from the root of the tree.
     double weightLoadsPerSecond() const { return mWeightLoadsPerSecond; }
