--- /dev/null
+++ b/corneltally/settings/setting_value.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace corneltally::settings {
+
+/// Value of a setting. An integer is also accepted where a number is expected.
+using setting_value
+    = std::variant<bool, std::int64_t, double, std::string, std::vector<std::string>>;
+
+/// The value as it is written in a TOML file.
+std::string toText(const setting_value &inValue);
+
+} // namespace corneltally::settings
