--- /dev/null
+++ b/corneltally/scheduling/adapter_slots.cpp
@@ -0,0 +1,245 @@
+#include "corneltally/scheduling/adapter_slots.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace corneltally::scheduling {
+
+namespace {
+
+constexpr double cNegligiblePopularity = 1;
+
+} // namespace
+
+adapter_slots::adapter_slots(slot_settings inSettings)
+    : mSettings(inSettings)
+{ }
+
+void adapter_slots::requested(std::string_view inAdapter, double inTokens, core::time_point inNow)
+{
+    const double previous = popularity(inAdapter, inNow);
+    history &entry = mHistory[std::string(inAdapter)];
+    entry.popularity = previous + inTokens;
+    entry.updated = inNow;
+}
+
+void adapter_slots::loadStarted(std::string_view inAdapter, core::time_point inNow)
+{
+    mResident.insert_or_assign(std::string(inAdapter),
+                               resident_state{state::loading, inNow, true, std::nullopt});
+}
+
+void adapter_slots::loadEnded(std::string_view inAdapter, bool inLoaded, core::time_point inNow)
+{
+    history &entry = mHistory[std::string(inAdapter)];
+    if (inLoaded) {
+        entry.failures = 0;
+        mResident.insert_or_assign(std::string(inAdapter),
+                                   resident_state{state::resident, inNow, false, std::nullopt});
+        mRemoved.erase(std::string(inAdapter));
+        return;
+    }
+    const int doublings = std::min(entry.failures, 16);
+    entry.notBefore
+        = inNow + std::min(mSettings.maxBackoff, mSettings.firstBackoff * (1 << doublings));
+    ++entry.failures;
+    const auto found = mResident.find(inAdapter);
+    if (found != mResident.end() && found->second.current == state::loading)
+        mResident.erase(found);
+}
+
+void adapter_slots::unloadStarted(std::string_view inAdapter)
+{
+    const auto found = mResident.find(inAdapter);
+    if (found == mResident.end())
+        return;
+    found->second.current = state::unloading;
+    found->second.commanded = true;
+}
+
+void adapter_slots::unloadEnded(std::string_view inAdapter, bool inUnloaded, core::time_point inNow)
+{
+    const auto found = mResident.find(inAdapter);
+    if (found == mResident.end())
+        return;
+    if (inUnloaded) {
+        mRemoved.insert_or_assign(found->first, inNow);
+        mResident.erase(found);
+        return;
+    }
+    found->second.current = state::resident;
+    found->second.commanded = false;
+}
+
+void adapter_slots::reported(std::span<const std::string> inResident,
+                             std::span<const std::string> inLoading, core::time_point inDescribed,
+                             core::time_point inNow)
+{
+    const auto isIn = [](std::span<const std::string> inNames, const std::string &inName) {
+        return std::ranges::find(inNames, inName) != inNames.end();
+    };
+    std::erase_if(mRemoved, [&](const auto &inEntry) { return inEntry.second < inDescribed; });
+    std::erase_if(mResident, [&](const auto &inEntry) {
+        return !inEntry.second.commanded && inEntry.second.since < inDescribed
+            && !isIn(inResident, inEntry.first) && !isIn(inLoading, inEntry.first);
+    });
+    const auto note = [&](const std::string &inName, state inState) {
+        if (mRemoved.contains(inName))
+            return;
+        const auto [entry, isNew]
+            = mResident.try_emplace(inName, resident_state{inState, inNow, false, std::nullopt});
+        resident_state &current = entry->second;
+        // A load that another owner had started has ended.
+        if (!isNew && !current.commanded && current.current == state::loading
+            && inState == state::resident)
+            current = resident_state{inState, inNow, false, std::nullopt};
+    };
+    for (const std::string &adapter : inResident)
+        note(adapter, state::resident);
+    for (const std::string &adapter : inLoading)
+        note(adapter, state::loading);
+}
+
+void adapter_slots::missing(std::string_view inAdapter, core::time_point inNow)
+{
+    const auto found = mResident.find(inAdapter);
+    if (found == mResident.end() || found->second.commanded)
+        return;
+    mRemoved.insert_or_assign(found->first, inNow);
+    mResident.erase(found);
+}
+
+void adapter_slots::clear()
+{
+    mResident.clear();
+    mRemoved.clear();
+}
+
+adapter_slots::state adapter_slots::stateOf(std::string_view inAdapter) const
+{
+    const auto found = mResident.find(inAdapter);
+    return found == mResident.end() ? state::absent : found->second.current;
+}
+
+std::vector<std::string> adapter_slots::adaptersIn(state inState) const
+{
+    std::vector<std::string> names;
+    for (const auto &[name, entry] : mResident) {
+        if (entry.current == inState)
+            names.push_back(name);
+    }
+    return names;
+}
+
+bool adapter_slots::mayStart(std::string_view inAdapter, std::uint64_t inSequence) const
+{
+    const auto found = mResident.find(inAdapter);
+    if (found == mResident.end() || found->second.current != state::resident)
+        return false;
+    return !found->second.retiredFrom || inSequence < *found->second.retiredFrom;
+}
+
+bool adapter_slots::isRetiring(std::string_view inAdapter) const
+{
+    const auto found = mResident.find(inAdapter);
+    return found != mResident.end() && found->second.retiredFrom.has_value();
+}
+
+slot_decision adapter_slots::decide(std::span<const adapter_demand> inDemand,
+                                    const std::function<bool(const std::string &)> &inInUse,
+                                    core::time_point inNow)
+{
+    const adapter_demand *wanted = mostUrgentMissing(inDemand, inNow);
+    if (wanted == nullptr)
+        return {};
+    if (mResident.size() < static_cast<std::size_t>(mSettings.slots))
+        return {slot_decision::action::load, wanted->adapter};
+    const std::string *victim = nullptr;
+    double least = 0;
+    for (const auto &[name, entry] : mResident) {
+        // One unload at a time is enough: the load that needs it comes next.
+        if (entry.current == state::unloading)
+            return {};
+        if (entry.current != state::resident || inNow - entry.since < mSettings.minimumStay
+            || inInUse(name) || hasDemand(name, entry, inDemand))
+            continue;
+        const double value = entry.retiredFrom ? -1 : popularity(name, inNow);
+        if (victim == nullptr || value < least) {
+            victim = &name;
+            least = value;
+        }
+    }
+    if (victim != nullptr)
+        return {slot_decision::action::unload, *victim};
+    if (inNow - wanted->oldest >= mSettings.retireAfter)
+        retireLeastPopular(inDemand, *wanted, inNow);
+    return {};
+}
+
+double adapter_slots::popularity(std::string_view inAdapter, core::time_point inNow) const
+{
+    const auto found = mHistory.find(std::string(inAdapter));
+    if (found == mHistory.end())
+        return 0;
+    const double elapsed = static_cast<double>((inNow - found->second.updated).count());
+    return found->second.popularity
+        * std::exp2(-std::max(0.0, elapsed)
+                    / static_cast<double>(mSettings.popularityHalfLife.count()));
+}
+
+void adapter_slots::prune(core::time_point inNow)
+{
+    std::erase_if(mHistory, [&](const auto &inEntry) {
+        return popularity(inEntry.first, inNow) < cNegligiblePopularity
+            && inEntry.second.notBefore <= inNow;
+    });
+}
+
+const adapter_demand *adapter_slots::mostUrgentMissing(std::span<const adapter_demand> inDemand,
+                                                       core::time_point inNow) const
+{
+    for (const adapter_demand &demand : inDemand) {
+        if (stateOf(demand.adapter) != state::absent)
+            continue;
+        const auto found = mHistory.find(demand.adapter);
+        if (found == mHistory.end() || found->second.notBefore <= inNow)
+            return &demand;
+    }
+    return nullptr;
+}
+
+bool adapter_slots::hasDemand(const std::string &inAdapter, const resident_state &inState,
+                              std::span<const adapter_demand> inDemand) const
+{
+    const auto found = std::ranges::find(inDemand, inAdapter, &adapter_demand::adapter);
+    if (found == inDemand.end())
+        return false;
+    return !inState.retiredFrom || found->oldestSequence < *inState.retiredFrom;
+}
+
+void adapter_slots::retireLeastPopular(std::span<const adapter_demand> inDemand,
+                                       const adapter_demand &inWaiting, core::time_point inNow)
+{
+    resident_state *least = nullptr;
+    double lowest = 0;
+    for (auto &[name, entry] : mResident) {
+        // One at a time: the next one is retired only if requests still wait then.
+        if (entry.retiredFrom)
+            return;
+        if (entry.current != state::resident || inNow - entry.since < mSettings.minimumStay)
+            continue;
+        const double value = popularity(name, inNow);
+        if (least == nullptr || value < lowest) {
+            least = &entry;
+            lowest = value;
+        }
+    }
+    if (least == nullptr)
+        return;
+    std::uint64_t next = inWaiting.oldestSequence;
+    for (const adapter_demand &demand : inDemand)
+        next = std::max(next, demand.newestSequence);
+    least->retiredFrom = next + 1;
+}
+
+} // namespace corneltally::scheduling
--- /dev/null
+++ b/corneltally/scheduling/endpoint_health.cpp
@@ -0,0 +1,88 @@
+#include "corneltally/scheduling/endpoint_health.h"
+
+#include <algorithm>
+
+namespace corneltally::scheduling {
+
+namespace {
+
+/// A failing endpoint that is not being probed keeps some traffic, from which it can recover.
+constexpr double cLeastWeight = 0.05;
+
+} // namespace
+
+endpoint_health::endpoint_health(health_settings inSettings)
+    : mSettings(inSettings)
+{ }
+
+bool endpoint_health::mayStart(core::time_point inNow) const
+{
+    if (!mAllowance)
+        return true;
+    return inNow >= mNotBefore && mInFlight < *mAllowance;
+}
+
+void endpoint_health::started()
+{
+    ++mInFlight;
+}
+
+void endpoint_health::succeeded(core::duration inLatency, core::time_point inNow)
+{
+    endOne();
+    mErrorRate -= mErrorRate * mSettings.smoothing;
+    if (mLatency.count() == 0)
+        mLatency = inLatency;
+    else
+        mLatency += core::duration(static_cast<core::duration::rep>(
+            static_cast<double>((inLatency - mLatency).count()) * mSettings.smoothing));
+    mConsecutiveFailures = 0;
+    mBackoff = {};
+    mNotBefore = inNow;
+    if (!mAllowance)
+        return;
+    *mAllowance *= 2;
+    if (*mAllowance >= mSettings.fullAllowance)
+        mAllowance.reset();
+}
+
+void endpoint_health::failed(core::time_point inNow)
+{
+    endOne();
+    mErrorRate += (1 - mErrorRate) * mSettings.smoothing;
+    ++mConsecutiveFailures;
+    if (mConsecutiveFailures < mSettings.failureLimit && !mAllowance)
+        return;
+    // Requests that were already in flight fail together and count as one step of the back-off.
+    if (mAllowance && inNow < mNotBefore)
+        return;
+    mAllowance = 1;
+    mBackoff = mBackoff.count() == 0 ? mSettings.firstBackoff
+                                     : std::min(mSettings.maxBackoff, mBackoff * 2);
+    mNotBefore = inNow + mBackoff;
+}
+
+void endpoint_health::abandoned()
+{
+    endOne();
+}
+
+double endpoint_health::weight(core::time_point inNow, core::duration inTypicalLatency) const
+{
+    if (!mayStart(inNow))
+        return 0;
+    const double allowed
+        = mAllowance ? static_cast<double>(*mAllowance) / mSettings.fullAllowance : 1.0;
+    double speed = 1;
+    if (inTypicalLatency.count() > 0 && mLatency > inTypicalLatency * 2)
+        speed = 2 * static_cast<double>(inTypicalLatency.count())
+            / static_cast<double>(mLatency.count());
+    return std::max(cLeastWeight, allowed * (1 - mErrorRate) * speed);
+}
+
+void endpoint_health::endOne()
+{
+    mInFlight = std::max(0, mInFlight - 1);
+}
+
+} // namespace corneltally::scheduling
