Add dispatch, application service calls, the operator address and the daemon

Cause: a caller's request has to reach the endpoint's owner or the application service, and the process has to start, report itself and drain.

Change: dispatch_service with pure rules for repeats, endpoint_directory with route choice and health, service_client, operator_api_service, drain_service, pause detection in the event loop and the daemon's wiring.

--- /dev/null
+++ b/corneltally/endpoint/service_client.cpp
@@ -0,0 +1,132 @@
+#include "corneltally/endpoint/service_client.h"
+
+#include <charconv>
+#include <string_view>
+#include <utility>
+
+namespace corneltally::endpoint {
+
+namespace {
+
+int secondsOf(std::string_view inText)
+{
+    int seconds = 0;
+    std::from_chars(inText.data(), inText.data() + inText.size(), seconds);
+    return seconds < 0 ? 0 : seconds;
+}
+
+http::call_request wireRequest(service_call inCall)
+{
+    // Headers are built from scratch: nothing that the caller sent as a header is passed on.
+    http::header_list headers{{"X-Request-Id", inCall.requestId}};
+    if (!inCall.contentType.empty())
+        headers.emplace_back("Content-Type", std::move(inCall.contentType));
+    if (!inCall.orderId.empty())
+        headers.emplace_back("X-Order-Id", std::move(inCall.orderId));
+    if (inCall.freshConnection)
+        headers.emplace_back("Connection", "close");
+    return {.target = std::move(inCall.target),
+            .method = std::move(inCall.method),
+            .path = std::move(inCall.path),
+            .headers = std::move(headers),
+            .body = std::move(inCall.body),
+            .timeout = inCall.timeout,
+            .freshConnection = inCall.freshConnection};
+}
+
+} // namespace
+
+service_answer classifyAnswer(const http::response &inResponse, std::string_view inRequestId)
+{
+    if (inResponse.outcome == http::call_outcome::not_sent)
+        return {.outcome = service_outcome::not_run, .reason = "the service could not be reached"};
+    if (inResponse.outcome == http::call_outcome::interrupted)
+        return {.outcome = service_outcome::unknown,
+                .reason = "the connection to the service ended without a complete answer"};
+    const std::string_view answeredId = http::findHeader(inResponse.headers, "X-Request-Id");
+    if (!answeredId.empty() && answeredId != inRequestId)
+        return {.outcome = service_outcome::unknown,
+                .reason = "the service sent the answer of another request"};
+    if (inResponse.status == 503 && http::findHeader(inResponse.headers, "X-Not-Run") == "true")
+        return {.outcome = service_outcome::not_run,
+                .status = inResponse.status,
+                .retryAfterSeconds = secondsOf(http::findHeader(inResponse.headers, "Retry-After")),
+                .reason = "the service refused the request"};
+    if (inResponse.status >= 500)
+        return {.outcome = service_outcome::unknown,
+                .status = inResponse.status,
+                .reason = "the service failed with status " + std::to_string(inResponse.status)};
+    return {.outcome = service_outcome::answered,
+            .status = inResponse.status,
+            .contentType = std::string(http::findHeader(inResponse.headers, "Content-Type")),
+            .body = inResponse.body};
+}
+
+service_client::service_client(kernel::event_loop &inLoop)
+    : mClient(inLoop)
+{ }
+
+service_client::~service_client() = default;
+
+service_client::call_id service_client::call(service_call inCall, handler inHandler)
+{
+    const call_id id = mNextId++;
+    running_call &running = mCalls[id];
+    running.requestId = inCall.requestId;
+    running.onAnswer = std::move(inHandler);
+    running.wireCall = mClient.call(
+        wireRequest(std::move(inCall)),
+        {.onHead
+         = [this, id](int inStatus,
+                      const http::header_list &inHeaders) { takeHead(id, inStatus, inHeaders); },
+         .onData = [this, id](std::string_view inData) { takeData(id, inData); },
+         .onEnd = [this, id](http::call_outcome inOutcome) { finish(id, inOutcome); }});
+    return id;
+}
+
+void service_client::cancel(call_id inCall)
+{
+    const auto found = mCalls.find(inCall);
+    if (found == mCalls.end())
+        return;
+    mClient.cancel(found->second.wireCall);
+    mCalls.erase(found);
+}
+
+void service_client::takeHead(call_id inCall, int inStatus, const http::header_list &inHeaders)
+{
+    const auto found = mCalls.find(inCall);
+    if (found == mCalls.end())
+        return;
+    found->second.response.status = inStatus;
+    found->second.response.headers = inHeaders;
+}
+
+void service_client::takeData(call_id inCall, std::string_view inData)
+{
+    const auto found = mCalls.find(inCall);
+    if (found == mCalls.end())
+        return;
+    running_call &running = found->second;
+    running.response.body.append(inData);
+    const std::string_view answeredId = http::findHeader(running.response.headers, "X-Request-Id");
+    const bool foreign = !answeredId.empty() && answeredId != running.requestId;
+    if (!foreign && running.response.body.size() <= sMaxAnswerBytes)
+        return;
+    // Closes the connection, so that what follows on it is not taken for another answer.
+    mClient.cancel(running.wireCall);
+    finish(inCall, http::call_outcome::interrupted);
+}
+
+void service_client::finish(call_id inCall, http::call_outcome inOutcome)
+{
+    const auto found = mCalls.find(inCall);
+    if (found == mCalls.end())
+        return;
+    running_call running = std::move(found->second);
+    mCalls.erase(found);
+    running.response.outcome = inOutcome;
+    running.onAnswer(classifyAnswer(running.response, running.requestId));
+}
+
+} // namespace corneltally::endpoint
--- /dev/null
+++ b/corneltally/endpoint/service_client.h
@@ -0,0 +1,93 @@
+#pragma once
+
+#include "corneltally/core/boot_clock.h"
+#include "corneltally/http/client.h"
+#include "corneltally/http/message.h"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+namespace corneltally::endpoint {
+
+/// A request to an application service. It holds no credentials.
+struct service_call
+{
+    http::address target;
+    std::string method;
+    std::string path;
+    std::string contentType;
+    std::string body;
+    std::string requestId;
+    /// Names the order at the service; empty without an idempotency key.
+    std::string orderId;
+    core::duration timeout{};
+    /// Uses a new connection, so that a failed connect proves that nothing was sent.
+    bool freshConnection = true;
+};
+
+/// How a call to an application service ended.
+enum class service_outcome : std::uint8_t {
+    answered,
+    /// Certain: nothing was sent, or the service said that it did not run the request.
+    not_run,
+    /// The request may have run.
+    unknown,
+};
+
+/// Result of a call to an application service.
+struct service_answer
+{
+    service_outcome outcome = service_outcome::unknown;
+    int status = 0;
+    std::string contentType;
+    std::string body;
+    int retryAfterSeconds = 0;
+    /// What went wrong, unless the service answered.
+    std::string reason;
+};
+
+/// What an answer says about whether the request ran. The call's own id guards against an answer
+/// that belongs to another request.
+service_answer classifyAnswer(const http::response &inResponse, std::string_view inRequestId);
+
+/// Calls application services.
+class service_client
+{
+public:
+    /// Longest answer that is accepted.
+    static constexpr std::size_t sMaxAnswerBytes = 16 * 1024 * 1024;
+
+    using call_id = std::uint64_t;
+    using handler = std::function<void(const service_answer &)>;
+
+    explicit service_client(kernel::event_loop &inLoop);
+    ~service_client();
+    service_client(const service_client &) = delete;
+    service_client &operator=(const service_client &) = delete;
+
+    /// The handler is called once, from the loop, unless the call is cancelled.
+    call_id call(service_call inCall, handler inHandler);
+    void cancel(call_id inCall);
+
+private:
+    struct running_call
+    {
+        http::client::call_id wireCall = 0;
+        std::string requestId;
+        http::response response;
+        handler onAnswer;
+    };
+
+    void takeHead(call_id inCall, int inStatus, const http::header_list &inHeaders);
+    void takeData(call_id inCall, std::string_view inData);
+    void finish(call_id inCall, http::call_outcome inOutcome);
+
+    http::client mClient;
+    std::unordered_map<call_id, running_call> mCalls;
+    call_id mNextId = 1;
+};
+
+} // namespace corneltally::endpoint
--- a/corneltally/entry/caller_request.cpp
+++ b/corneltally/entry/caller_request.cpp
@@ -147,7 +147,8 @@
                                                  const json &inBody)
 {
     const auto found = inBody.find("model");
-    if (found == inBody.end() || !found->is_string() || found->get_ref<const std::string &>().empty())
+    if (found == inBody.end() || !found->is_string()
+        || found->get_ref<const std::string &>().empty())
         return invalid("\"model\" is missing or not a text",
                        "name an adapter of GET /v1/models, for example \"adapter\" or "
                        "\"adapter@version\"");
@@ -250,8 +251,7 @@
                            "use a key that is in force"};
     if (!inRoute.accounts.empty()
         && std::ranges::find(inRoute.accounts, found->account) == inRoute.accounts.end())
-        return core::error{core::error_kind::forbidden,
-                           "the client account may not use this route",
+        return core::error{core::error_kind::forbidden, "the client account may not use this route",
                            "ask the operator for the right to use the route"};
     return caller_identity{.account = found->account, .keyDigest = std::move(digest)};
 }
--- /dev/null
+++ b/corneltally/entry/daemon.cpp
@@ -0,0 +1,147 @@
+#include "corneltally/entry/daemon.h"
+
+#include "corneltally/core/json_log.h"
+#include "corneltally/entry/admission_messages.h"
+#include "corneltally/entry/claims_messages.h"
+#include "corneltally/entry/dispatch_service.h"
+#include "corneltally/entry/drain_messages.h"
+#include "corneltally/entry/drain_service.h"
+#include "corneltally/entry/front_end_service.h"
+#include "corneltally/entry/metrics.h"
+#include "corneltally/entry/operator_api_service.h"
+#include "corneltally/entry/peers_service.h"
+#include "corneltally/kernel/event_loop.h"
+#include "corneltally/kernel/service_registry.h"
+#include "corneltally/settings/process_settings.h"
+
+#include <chrono>
+#include <csignal>
+#include <cstdint>
+#include <iostream>
+#include <memory>
+#include <string>
+
+namespace corneltally::entry {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/// A gap between two ticks of the loop after which leases, loans and keys may be out of date.
+constexpr core::duration cPauseLimit = 1s;
+
+std::uint64_t newIncarnation()
+{
+    const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
+    return static_cast<std::uint64_t>(
+        std::chrono::duration_cast<std::chrono::microseconds>(sinceEpoch).count());
+}
+
+/// Services that this build lacks are answered for here.
+void substituteMissingServices(kernel::service_registry &ioRegistry)
+{
+    ioRegistry.handle<admit>("admission", [&ioRegistry](const admit &inAdmit) {
+        ioRegistry.post("front_end", admission_result{.requestId = inAdmit.requestId});
+    });
+    ioRegistry.handle<settle>("admission", [](const settle &) {});
+    ioRegistry.handle<claim_begin>("claims", [&ioRegistry](const claim_begin &inBegin) {
+        ioRegistry.post(
+            "front_end",
+            claim_result{.requestId = inBegin.requestId,
+                         .outcome = claim_outcome::refused,
+                         .error = {core::error_kind::unavailable, "idempotency keys are not served",
+                                   "send the request without a key"}});
+    });
+    ioRegistry.handle<drain_started>("owner", [&ioRegistry](const drain_started &) {
+        ioRegistry.post("drain", endpoints_drained{});
+    });
+}
+
+/// The services of one entry instance.
+class daemon
+{
+public:
+    explicit daemon(const settings::process_settings &inSettings)
+        : mIncarnation(newIncarnation())
+        , mRegistry(mLoop)
+        , mFrontEnd(mRegistry.add(std::make_unique<front_end_service>(
+              mRegistry, mMetrics,
+              front_end_options{.instance = inSettings.instanceName,
+                                .incarnation = mIncarnation,
+                                .listen = http::parseAddress(inSettings.callers),
+                                .maxConnections
+                                = static_cast<std::uint64_t>(inSettings.limits.maxConnections)})))
+        , mOperatorApi(mRegistry.add(
+              std::make_unique<operator_api_service>(mRegistry, mMetrics, inSettings.instanceName,
+                                                     http::parseAddress(inSettings.operators))))
+        , mPeers(mRegistry.add(std::make_unique<peers_service>(
+              mRegistry,
+              peers_options{.instance = inSettings.instanceName,
+                            .incarnation = mIncarnation,
+                            .listen = http::parseAddress(inSettings.peers),
+                            .addresses
+                            = {inSettings.peerAddresses.begin(), inSettings.peerAddresses.end()}})))
+        , mDrain(mRegistry.add(std::make_unique<drain_service>(mRegistry)))
+    {
+        mRegistry.add(
+            std::make_unique<dispatch_service>(mRegistry, mMetrics, inSettings.instanceName));
+        substituteMissingServices(mRegistry);
+    }
+
+    bool listen()
+    {
+        return checkListen(mFrontEnd.listen(), "callers")
+            && checkListen(mOperatorApi.listen(), "operators")
+            && checkListen(mPeers.listen(), "peers");
+    }
+
+    void run(const std::string &inName)
+    {
+        for (const int signal : {SIGTERM, SIGINT})
+            mLoop.onSignal(signal, [this] { mDrain.begin(); });
+        mLoop.watchPauses(cPauseLimit, [this](core::duration inGap) {
+            core::logEvent(core::log_level::warning, "paused",
+                           {{"seconds", std::chrono::duration<double>(inGap).count()}});
+            mRegistry.broadcast(paused{inGap});
+        });
+        mRegistry.startAll();
+        std::cout << R"({"ready":true,"name":")" << core::jsonEscape(inName)
+                  << R"(","ports":{"callers":)" << mFrontEnd.port() << R"(,"operators":)"
+                  << mOperatorApi.port() << R"(,"peers":)" << mPeers.port() << "}}" << std::endl;
+        mLoop.run();
+    }
+
+private:
+    static bool checkListen(bool inListening, std::string_view inWhat)
+    {
+        if (!inListening) {
+            core::logEvent(core::log_level::error, "listen_failed",
+                           {{"listener", inWhat}, {"remedy", "choose a free address in [listen]"}});
+        }
+        return inListening;
+    }
+
+    std::uint64_t mIncarnation;
+    kernel::event_loop mLoop;
+    metrics mMetrics;
+    kernel::service_registry mRegistry;
+    front_end_service &mFrontEnd;
+    operator_api_service &mOperatorApi;
+    peers_service &mPeers;
+    drain_service &mDrain;
+};
+
+} // namespace
+
+int runEntry(const settings::process_settings &inSettings)
+{
+    core::initializeLog("corneltally", inSettings.instanceName);
+    daemon instance(inSettings);
+    if (!instance.listen())
+        return 1;
+    instance.run(inSettings.instanceName);
+    core::logEvent(core::log_level::info, "stopped");
+    return 0;
+}
+
+} // namespace corneltally::entry
--- /dev/null
+++ b/corneltally/entry/dispatch_rules.cpp
@@ -0,0 +1,61 @@
+#include "corneltally/entry/dispatch_rules.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace corneltally::entry {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr core::duration cFirstDelayBound = 20ms;
+constexpr core::duration cLastDelayBound = 1s;
+
+} // namespace
+
+bool mayRepeat(const failed_attempt &inAttempt)
+{
+    if (inAttempt.outcome == run_outcome::completed || inAttempt.partReached
+        || inAttempt.attempts >= cMaxAttempts || inAttempt.remaining <= core::duration(0))
+        return false;
+    return inAttempt.outcome == run_outcome::not_run || inAttempt.repeatable;
+}
+
+core::duration retryDelay(int inAttempts, std::uint64_t inRandom)
+{
+    core::duration bound = cFirstDelayBound;
+    for (int attempt = 1; attempt < inAttempts && bound < cLastDelayBound; ++attempt)
+        bound *= 2;
+    bound = std::min(bound, cLastDelayBound);
+    return core::duration(
+        static_cast<core::duration::rep>(inRandom % static_cast<std::uint64_t>(bound.count() + 1)));
+}
+
+std::optional<std::size_t> chooseService(std::span<const service_option> inOptions,
+                                         std::uint64_t inRandom)
+{
+    std::optional<std::size_t> best;
+    std::tuple<bool, bool, double, std::size_t> bestRank;
+    for (std::size_t index = 0; index < inOptions.size(); ++index) {
+        const service_option &option = inOptions[index];
+        if (!option.mayStart || option.healthWeight <= 0)
+            continue;
+        // The last element breaks ties differently for each request.
+        const std::tuple<bool, bool, double, std::size_t> rank{
+            option.excluded, !option.sameDomain, (option.outstanding + 1) / option.healthWeight,
+            (index + inRandom) % inOptions.size()};
+        if (!best || rank < bestRank) {
+            best = index;
+            bestRank = rank;
+        }
+    }
+    return best;
+}
+
+bool replacesStatus(std::uint64_t inKnownFence, bool inKnownOwnerLive, std::uint64_t inNewFence)
+{
+    return inNewFence >= inKnownFence || !inKnownOwnerLive;
+}
+
+} // namespace corneltally::entry
--- /dev/null
+++ b/corneltally/entry/dispatch_service.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include "corneltally/core/boot_clock.h"
+#include "corneltally/endpoint/service_client.h"
+#include "corneltally/entry/dispatched_run.h"
+#include "corneltally/entry/endpoint_directory.h"
+#include "corneltally/entry/peers_messages.h"
+#include "corneltally/kernel/service.h"
+#include "corneltally/kernel/timer.h"
+
+#include <memory>
+#include <random>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+
+namespace corneltally::kernel {
+class service_registry;
+}
+
+namespace corneltally::entry {
+
+class metrics;
+
+/// Runs the requests of this instance's callers: chooses an endpoint, sends the run to its owner or
+/// to the application service, passes the answer on, and decides what follows a failure.
+class dispatch_service : public kernel::service
+{
+public:
+    dispatch_service(kernel::service_registry &inRegistry, metrics &inMetrics,
+                     std::string inInstance);
+    ~dispatch_service() override;
+
+    std::string_view name() const override { return "dispatch"; }
+    void start() override;
+    std::string dump() const override;
+
+private:
+    using run_map = std::unordered_map<std::string, std::unique_ptr<dispatched_run>>;
+
+    void startRun(const run &inRun);
+    void abandon(const std::string &inRequestId);
+
+    void attempt(dispatched_run &ioRun);
+    void attemptModel(dispatched_run &ioRun, core::time_point inNow);
+    void attemptService(dispatched_run &ioRun, core::time_point inNow);
+    void resume(dispatched_run &ioRun, core::time_point inNow);
+    void submit(dispatched_run &ioRun, const std::string &inOwner, core::time_point inNow);
+    void waitForEndpoint(dispatched_run &ioRun, core::time_point inNow);
+
+    void takeEvent(const run_event &inEvent, const std::string &inFrom);
+    void takeChunk(dispatched_run &ioRun, const run_chunk &inChunk);
+    void takeServiceAnswer(const std::string &inRequestId,
+                           const endpoint::service_answer &inAnswer);
+    void takeEnd(dispatched_run &ioRun, run_end inEnd);
+    void attemptFailed(dispatched_run &ioRun, run_end inEnd);
+    void repeatOrFinish(dispatched_run &ioRun, run_end inEnd, bool inBudgeted);
+    void ownerLost(dispatched_run &ioRun, std::string_view inReason);
+    void streamLost(dispatched_run &ioRun, std::string_view inReason);
+
+    void leaveEndpoint(dispatched_run &ioRun, const run_end &inEnd);
+    void cancelAtOwner(const dispatched_run &inRun);
+    void finish(dispatched_run &ioRun, run_end inEnd);
+    void forward(const dispatched_run &inRun, run_event inEvent);
+
+    void applyPeers(const peers_changed &inChange);
+    void applyLost(const peer_lost &inLost);
+    void sweep();
+    void sweepRun(dispatched_run &ioRun, core::time_point inNow);
+    bool takeRetryBudget();
+
+    kernel::service_registry &mRegistry;
+    metrics &mMetrics;
+    std::string mInstance;
+    endpoint_directory mDirectory;
+    endpoint::service_client mServices;
+    kernel::timer mSweep;
+    run_map mRuns;
+    std::mt19937_64 mRandom;
+    /// Retries that may be made now: a part of each request adds to it.
+    double mRetryBudget;
+    core::time_point mLastPrune;
+};
+
+} // namespace corneltally::entry
--- /dev/null
+++ b/corneltally/entry/drain_service.cpp
@@ -0,0 +1,80 @@
+#include "corneltally/entry/drain_service.h"
+
+#include "corneltally/core/json_log.h"
+#include "corneltally/entry/drain_messages.h"
+#include "corneltally/entry/owner_messages.h"
+#include "corneltally/entry/peers_messages.h"
+#include "corneltally/kernel/service_registry.h"
+
+#include <string>
+
+namespace corneltally::entry {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/// Routes bound how long a request runs; this is a last resort against a part that never reports.
+constexpr core::duration cDrainLimit = 10min;
+
+} // namespace
+
+drain_service::drain_service(kernel::service_registry &inRegistry)
+    : mRegistry(inRegistry)
+    , mLimit(inRegistry.loop(), [this] { giveUp(); })
+{
+    mRegistry.handle<callers_drained>(name(), [this](const callers_drained &inDrained) {
+        mFinished = inDrained.finished;
+        stopWhenDone();
+    });
+    mRegistry.handle<endpoints_drained>(name(), [this](const endpoints_drained &inDrained) {
+        mHandedOver = inDrained.handedOver;
+        stopWhenDone();
+    });
+    mRegistry.handle<superseded>(name(), [this](const superseded &) { stopSuperseded(); });
+}
+
+void drain_service::begin()
+{
+    if (mStartedAt)
+        return;
+    mStartedAt = core::boot_clock::now();
+    core::logEvent(core::log_level::info, "drain_started");
+    mRegistry.broadcast(drain_started{});
+    mLimit.startOnce(cDrainLimit);
+}
+
+void drain_service::stopWhenDone()
+{
+    if (!mStartedAt || !mFinished || !mHandedOver)
+        return;
+    const core::duration elapsed = core::boot_clock::now() - *mStartedAt;
+    core::logEvent(core::log_level::info, "drain_finished",
+                   {{"finished", *mFinished},
+                    {"handed_over", *mHandedOver},
+                    {"seconds", std::chrono::duration<double>(elapsed).count()}});
+    mRegistry.loop().stop();
+}
+
+void drain_service::giveUp()
+{
+    core::logEvent(core::log_level::error, "drain_timed_out",
+                   {{"callers_drained", mFinished.has_value()},
+                    {"endpoints_drained", mHandedOver.has_value()}});
+    mRegistry.loop().stop();
+}
+
+void drain_service::stopSuperseded()
+{
+    core::logEvent(core::log_level::error, "superseded",
+                   {{"message", "a newer process runs under this instance's name"},
+                    {"remedy", "give each process its own instance name"}});
+    mRegistry.loop().stop();
+}
+
+std::string drain_service::dump() const
+{
+    return std::string("{\"draining\":") + (isDraining() ? "true" : "false") + "}";
+}
+
+} // namespace corneltally::entry
--- /dev/null
+++ b/corneltally/entry/endpoint_directory.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include "corneltally/core/boot_clock.h"
+#include "corneltally/entry/dispatch_messages.h"
+#include "corneltally/scheduling/endpoint_health.h"
+#include "corneltally/scheduling/placement.h"
+#include "corneltally/scheduling/route_choice.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+
+namespace corneltally::settings {
+class catalog;
+struct endpoint_view;
+} // namespace corneltally::settings
+
+namespace corneltally::entry {
+
+/// What one instance knows about the endpoints, and the choice of one for a run.
+class endpoint_directory
+{
+public:
+    using name_set = std::set<std::string, std::less<>>;
+
+    explicit endpoint_directory(std::string inInstance);
+
+    void setCatalog(std::shared_ptr<const settings::catalog> inCatalog);
+    /// Instances that take runs, and instances that only finish theirs.
+    void setInstances(name_set inLive, name_set inDraining);
+    /// Endpoints that the platform reports as leaving.
+    void setLeaving(name_set inLeaving) { mLeaving = std::move(inLeaving); }
+    void takeStatus(const endpoint_status &inStatus, core::time_point inNow);
+
+    /// Whether an instance can still finish runs.
+    bool isReachable(std::string_view inInstance) const;
+    /// The known owner of an endpoint, if it is reachable.
+    std::optional<std::string> ownerOf(std::string_view inEndpoint) const;
+    const settings::endpoint_view *find(std::string_view inEndpoint) const;
+
+    /// Endpoint for a run of an adapter. Endpoints that refused this run before are avoided.
+    std::optional<std::string> chooseModel(const run &inRun, const name_set &inExcluded,
+                                           core::time_point inNow, std::uint64_t inRandom);
+    /// Endpoint for a call to an application service.
+    std::optional<std::string> chooseService(const run &inRun, const name_set &inExcluded,
+                                             core::time_point inNow, std::uint64_t inRandom);
+
+    void started(const run &inRun, std::string_view inEndpoint, core::time_point inNow);
+    void succeeded(const run &inRun, std::string_view inEndpoint, core::duration inLatency,
+                   core::time_point inNow);
+    void failed(const run &inRun, std::string_view inEndpoint, core::time_point inNow);
+    /// The run ended without telling anything about the endpoint.
+    void abandoned(const run &inRun, std::string_view inEndpoint, core::time_point inNow);
+
+    void prune(core::time_point inNow) { mPlacement.prune(inNow); }
+    std::string toJson() const;
+
+private:
+    struct entry
+    {
+        std::optional<endpoint_status> status;
+        scheduling::endpoint_health health;
+        int outstanding = 0;
+        int dispatchedSinceReport = 0;
+    };
+
+    void ended(const run &inRun, entry &ioEntry, core::time_point inNow);
+    bool takesWork(const settings::endpoint_view &inEndpoint) const;
+    std::string failureDomain() const;
+
+    std::string mInstance;
+    std::shared_ptr<const settings::catalog> mCatalog;
+    name_set mLive;
+    name_set mDraining;
+    name_set mLeaving;
+    std::map<std::string, entry, std::less<>> mEntries;
+    scheduling::placement mPlacement;
+    scheduling::route_choice mChoice;
+};
+
+} // namespace corneltally::entry
--- a/corneltally/entry/front_end_service.cpp
+++ b/corneltally/entry/front_end_service.cpp
@@ -62,9 +62,8 @@
     : mRegistry(inRegistry)
     , mMetrics(inMetrics)
     , mOptions(std::move(inOptions))
-    , mServer(
-          inRegistry.loop(), [this](const exchange_pointer &inCaller) { receive(inCaller); },
-          {.maxBodyBytes = cServerBodyBytes, .maxConnections = mOptions.maxConnections})
+    , mServer(inRegistry.loop(), [this](const exchange_pointer &inCaller) { receive(inCaller); },
+              {.maxBodyBytes = cServerBodyBytes, .maxConnections = mOptions.maxConnections})
     , mSweep(inRegistry.loop(), [this] { sweep(); })
 {
     mRegistry.handle<catalog_changed>(
@@ -193,7 +192,8 @@
     std::string text = "{\"object\":\"list\",\"data\":[";
     for (const settings::adapter_view *adapter : adapters) {
         text.append(text.ends_with('[') ? "" : ",").append("{\"id\":\"");
-        text.append(core::jsonEscape(adapter->name)).append("\",\"object\":\"model\",\"version\":\"");
+        text.append(core::jsonEscape(adapter->name))
+            .append("\",\"object\":\"model\",\"version\":\"");
         text.append(core::jsonEscape(adapter->version)).append("\"}");
     }
     inCaller->replyJson(200, text.append("]}"), {{"X-Request-Id", nextRequestId()}});
@@ -210,7 +210,8 @@
     core::logEvent(core::log_level::info, "request",
                    {{"request_id", refused.request().requestId},
                     {"account", inAccount},
-                    {"path", mCatalog && mCatalog->findRoute(inCaller->path()) != nullptr
+                    {"path",
+                     mCatalog && mCatalog->findRoute(inCaller->path()) != nullptr
                          ? std::string_view(inCaller->path())
                          : std::string_view()},
                     {"outcome", "refused"},
@@ -243,9 +244,9 @@
         return;
     }
     running.charged = running.request().promptTokens + running.request().maxTokens;
-    mRegistry.post("admission",
-                   admit{id, running.request().account, running.charged,
-                         running.request().deadline});
+    mRegistry.post(
+        "admission",
+        admit{id, running.request().account, running.charged, running.request().deadline});
 }
 
 /// Reads the idempotency headers. Repeatable routes need no claim, unless they ask for a key.
@@ -257,15 +258,15 @@
     if (key.empty()) {
         if (!inRoute.requireIdempotencyKey)
             return std::nullopt;
-        return core::error{core::error_kind::invalid_request,
-                           "the route needs an idempotency key",
+        return core::error{core::error_kind::invalid_request, "the route needs an idempotency key",
                            "send the header Idempotency-Key with a value unique to the order"};
     }
     if (inRoute.repeatable && !inRoute.requireIdempotencyKey)
         return std::nullopt;
     if (const std::string_view first = caller.header("Idempotency-Time"); !first.empty()) {
         long long seconds = 0;
-        const auto [end, code] = std::from_chars(first.data(), first.data() + first.size(), seconds);
+        const auto [end, code]
+            = std::from_chars(first.data(), first.data() + first.size(), seconds);
         if (code != std::errc() || end != first.data() + first.size())
             return core::error{core::error_kind::invalid_request,
                                "Idempotency-Time is not a number of seconds",
@@ -287,8 +288,8 @@
     caller_run &running = *found->second;
     if (inResult.error) {
         running.charged = 0;
-        failRun(running, {.error = *inResult.error,
-                          .retryAfterSeconds = inResult.retryAfterSeconds});
+        failRun(running,
+                {.error = *inResult.error, .retryAfterSeconds = inResult.retryAfterSeconds});
     } else if (running.leftAt) {
         settleTokens(running, 0);
         complete(running, "caller_left", {});
@@ -306,12 +307,11 @@
     ioRun.currentPhase = caller_run::phase::claiming;
     ioRun.mutableRequest().orderId = core::sha256Hex(ioRun.claimKey);
     const http::exchange &caller = *ioRun.caller();
-    mRegistry.post(
-        "claims",
-        claim_begin{ioRun.request().requestId, ioRun.claimKey,
-                    requestDigestOf(
-                        {caller.method(), caller.path(), caller.body(), caller.headers()}),
-                    ioRun.request().deadline});
+    mRegistry.post("claims",
+                   claim_begin{ioRun.request().requestId, ioRun.claimKey,
+                               requestDigestOf({caller.method(), caller.path(), caller.body(),
+                                                caller.headers()}),
+                               ioRun.request().deadline});
 }
 
 void front_end_service::continueClaimed(const claim_result &inResult)
@@ -342,9 +342,10 @@
     case claim_outcome::unknown:
     case claim_outcome::refused:
         settleTokens(running, 0);
-        failRun(running, {.error = inResult.error,
-                          .mayHaveRun = inResult.outcome == claim_outcome::unknown,
-                          .retryAfterSeconds = inResult.retryAfterSeconds});
+        failRun(running,
+                {.error = inResult.error,
+                 .mayHaveRun = inResult.outcome == claim_outcome::unknown,
+                 .retryAfterSeconds = inResult.retryAfterSeconds});
         break;
     }
 }
@@ -368,9 +369,10 @@
     } else {
         const bool first = running.partCount() == 0;
         if (!running.takeChunk(std::get<run_chunk>(inEvent.event))) {
-            stopRun(running, {.error = {core::error_kind::internal, "the answer is too long",
-                                        "ask for a shorter answer, or for a stream"},
-                              .mayHaveRun = true});
+            stopRun(running,
+                    {.error = {core::error_kind::internal, "the answer is too long",
+                               "ask for a shorter answer, or for a stream"},
+                     .mayHaveRun = true});
             return;
         }
         if (first) {
@@ -479,8 +481,7 @@
     if (ioRun.charged <= 0)
         return;
     mRegistry.post("admission",
-                   settle{ioRun.request().account, ioRun.charged,
-                          std::min(inUsed, ioRun.charged)});
+                   settle{ioRun.request().account, ioRun.charged, std::min(inUsed, ioRun.charged)});
     ioRun.charged = 0;
 }
 
@@ -607,9 +608,8 @@
 
 std::string front_end_service::dump() const
 {
-    return "{\"connections\":" + std::to_string(mServer.connectionCount())
-        + ",\"running\":" + std::to_string(mRuns.size())
-        + ",\"requests\":" + std::to_string(mRequestCount)
+    return "{\"connections\":" + std::to_string(mServer.connectionCount()) + ",\"running\":"
+        + std::to_string(mRuns.size()) + ",\"requests\":" + std::to_string(mRequestCount)
         + ",\"draining\":" + (mDrainingSince ? "true" : "false") + "}";
 }
 
--- /dev/null
+++ b/corneltally/entry/operator_api_service.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "corneltally/entry/settings_messages.h"
+#include "corneltally/http/server.h"
+#include "corneltally/kernel/service.h"
+
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace corneltally::kernel {
+class service_registry;
+}
+
+namespace corneltally::entry {
+
+class metrics;
+
+/// Serves operators: /healthz, /readyz, /metrics, /dump and /version.
+class operator_api_service : public kernel::service
+{
+public:
+    operator_api_service(kernel::service_registry &inRegistry, metrics &inMetrics,
+                         std::string inInstance, http::address inListen);
+
+    std::string_view name() const override { return "operator_api"; }
+    void start() override { }
+
+    /// Binds the listener; returns false if the address is taken.
+    bool listen();
+    unsigned short port() const { return mServer.port(); }
+
+private:
+    void serve(http::exchange &ioExchange);
+    void serveReadiness(http::exchange &ioExchange) const;
+
+    kernel::service_registry &mRegistry;
+    metrics &mMetrics;
+    std::string mInstance;
+    http::address mListen;
+    http::server mServer;
+    std::shared_ptr<const settings::catalog> mCatalog;
+    bool mDraining = false;
+};
+
+} // namespace corneltally::entry
--- a/corneltally/entry/peer_codec.cpp
+++ b/corneltally/entry/peer_codec.cpp
@@ -40,8 +40,7 @@
     return (inDeadline - inNow).count();
 }
 
-Offset<wire::Run> encodeRun(FlatBufferBuilder &ioBuilder, const run &inRun,
-                                    core::time_point inNow)
+Offset<wire::Run> encodeRun(FlatBufferBuilder &ioBuilder, const run &inRun, core::time_point inNow)
 {
     // Bodies may hold zero bytes, which the form for C strings would cut off.
     const auto requestId = ioBuilder.CreateString(inRun.requestId);
@@ -67,7 +66,7 @@
 {
     const auto requestId = ioBuilder.CreateString(inEvent.requestId);
     return std::visit(
-        overloaded {
+        overloaded{
             [&](const run_head &inHead) {
                 const auto contentType = ioBuilder.CreateString(inHead.contentType);
                 return bodyOf(
@@ -97,8 +96,8 @@
     std::vector<Offset<wire::Adapter>> offsets;
     offsets.reserve(inAdapters.size());
     for (const resident_adapter &entry : inAdapters) {
-        offsets.push_back(wire::CreateAdapterDirect(ioBuilder, entry.adapter.c_str(),
-                                                    entry.version.c_str()));
+        offsets.push_back(
+            wire::CreateAdapterDirect(ioBuilder, entry.adapter.c_str(), entry.version.c_str()));
     }
     return ioBuilder.CreateVector(offsets);
 }
@@ -130,13 +129,12 @@
 {
     FlatBufferBuilder &builder = ioBuilder;
     return std::visit(
-        overloaded {
+        overloaded{
             [&](const run_submit &inSubmit) {
                 const auto request = encodeRun(builder, inSubmit.request, inNow);
-                return bodyOf(wire::CreateRunRequestDirect(builder, request,
-                                                           inSubmit.endpoint.c_str(),
-                                                           inSubmit.origin.c_str(),
-                                                           inSubmit.resumeFrom));
+                return bodyOf(
+                    wire::CreateRunRequestDirect(builder, request, inSubmit.endpoint.c_str(),
+                                                 inSubmit.origin.c_str(), inSubmit.resumeFrom));
             },
             [&](const run_cancel &inCancel) {
                 return bodyOf(wire::CreateRunCancelDirect(builder, inCancel.requestId.c_str(),
@@ -145,14 +143,13 @@
             [&](const run_event &inEvent) { return encodeRunEvent(builder, inEvent); },
             [&](const endpoint_status &inStatus) { return encodeStatus(builder, inStatus); },
             [&](const loan_request &inLoan) {
-                return bodyOf(wire::CreateLoanRequestDirect(builder, inLoan.account.c_str(),
-                                                            inLoan.loanId, inLoan.rate,
-                                                            inLoan.tokens));
+                return bodyOf(wire::CreateLoanRequestDirect(
+                    builder, inLoan.account.c_str(), inLoan.loanId, inLoan.rate, inLoan.tokens));
             },
             [&](const loan_grant &inLoan) {
-                return bodyOf(wire::CreateLoanGrantDirect(
-                    builder, inLoan.account.c_str(), inLoan.loanId, inLoan.rate, inLoan.burst,
-                    inLoan.tokens, inLoan.validFor.count()));
+                return bodyOf(wire::CreateLoanGrantDirect(builder, inLoan.account.c_str(),
+                                                          inLoan.loanId, inLoan.rate, inLoan.burst,
+                                                          inLoan.tokens, inLoan.validFor.count()));
             },
             [&](const settings_records &inRecords) { return encodeRecords(builder, inRecords); },
             [&](const settings_request &inRequest) {
@@ -282,8 +279,8 @@
     }
     case wire::Body::RunHead: {
         const wire::RunHead &head = *inEnvelope.body_as_RunHead();
-        return peer_message(run_event{text(head.request_id()),
-                                      run_head{head.status(), text(head.content_type())}});
+        return peer_message(
+            run_event{text(head.request_id()), run_head{head.status(), text(head.content_type())}});
     }
     case wire::Body::RunChunk: {
         const wire::RunChunk &chunk = *inEnvelope.body_as_RunChunk();
@@ -308,8 +305,7 @@
     case wire::Body::SettingsRecords:
         return decodeRecords(*inEnvelope.body_as_SettingsRecords());
     case wire::Body::SettingsRequest:
-        return peer_message(
-            settings_request{inEnvelope.body_as_SettingsRequest()->after_offset()});
+        return peer_message(settings_request{inEnvelope.body_as_SettingsRequest()->after_offset()});
     case wire::Body::SettingsSnapshot: {
         const wire::SettingsSnapshot &snapshot = *inEnvelope.body_as_SettingsSnapshot();
         return peer_message(settings_snapshot{snapshot.offset(), text(snapshot.tree())});
@@ -326,7 +322,7 @@
 {
     FlatBufferBuilder builder;
     const encoded_body body = std::visit(
-        overloaded {
+        overloaded{
             [&](const peer_hello &inHello) {
                 return bodyOf(wire::CreateHelloDirect(builder, inHello.instance.c_str(),
                                                       inHello.incarnation,
--- a/corneltally/entry/peers_service.cpp
+++ b/corneltally/entry/peers_service.cpp
@@ -93,8 +93,8 @@
         remote entry;
         if (const auto known = mRemotes.find(instance); known != mRemotes.end())
             entry = known->second;
-        entry.address = http::parseAddress(
-            replaced == mOptions.addresses.end() ? view.peerAddress : replaced->second);
+        entry.address = http::parseAddress(replaced == mOptions.addresses.end() ? view.peerAddress
+                                                                                : replaced->second);
         remotes.emplace(instance, entry);
     }
     mRemotes = std::move(remotes);
@@ -253,8 +253,9 @@
     const core::time_point now = core::boot_clock::now();
     const core::result<wire_message> message = decodePeerFrame(inBody, now);
     if (!message) {
-        core::logEvent(core::log_level::warning, "peer_frame_invalid",
-                       {{"peer", mLinks.at(inLink).instance}, {"reason", message.reason().message}});
+        core::logEvent(
+            core::log_level::warning, "peer_frame_invalid",
+            {{"peer", mLinks.at(inLink).instance}, {"reason", message.reason().message}});
         closeLink(inLink, "invalid frame");
         return;
     }
@@ -268,8 +269,7 @@
         return;
     }
     const std::string instance = source.instance;
-    const membership::heard_outcome outcome
-        = mTable.progressed(instance, source.incarnation, now);
+    const membership::heard_outcome outcome = mTable.progressed(instance, source.incarnation, now);
     if (outcome == membership::heard_outcome::outdated
         || outcome == membership::heard_outcome::ignored)
         return;
--- a/corneltally/kernel/event_loop.cpp
+++ b/corneltally/kernel/event_loop.cpp
@@ -2,12 +2,22 @@
 
 #include <cassert>
 #include <csignal>
+#include <iterator>
 #include <utility>
 
 #include <event2/event.h>
 
 namespace corneltally::kernel {
 
+namespace {
+
+constexpr timeval cTickPeriod{.tv_sec = 0, .tv_usec = 100'000};
+/// The tick has priority 0, so that a pause is noticed before the sockets that became ready during
+/// it are served; all other events have the library's default, the middle one.
+constexpr int cPriorities = 2;
+
+} // namespace
+
 struct event_loop::signal_watch
 {
     std::function<void()> handler;
@@ -24,6 +34,7 @@
     : mBase(event_base_new())
 {
     assert(mBase != nullptr);
+    event_base_priority_init(mBase, cPriorities);
     // A peer that closes its connection must not end the process by SIGPIPE.
     std::signal(SIGPIPE, SIG_IGN);
     mWakeEvent = event_new(
@@ -37,6 +48,8 @@
 event_loop::~event_loop()
 {
     mSignals.clear();
+    if (mTickEvent != nullptr)
+        event_free(mTickEvent);
     event_free(mWakeEvent);
     event_base_free(mBase);
 }
@@ -71,6 +84,38 @@
     mSignals.push_back(std::move(entry));
 }
 
+void event_loop::watchPauses(core::duration inLimit,
+                             std::function<void(core::duration inGap)> inHandler)
+{
+    assert(mTickEvent == nullptr);
+    mPauseLimit = inLimit;
+    mPauseHandler = std::move(inHandler);
+    mLastTick = core::boot_clock::now();
+    mTickEvent = event_new(
+        mBase, -1, EV_PERSIST,
+        [](evutil_socket_t, short, void *inLoop) { static_cast<event_loop *>(inLoop)->tick(); },
+        this);
+    event_priority_set(mTickEvent, 0);
+    event_add(mTickEvent, &cTickPeriod);
+}
+
+void event_loop::tick()
+{
+    const core::time_point now = core::boot_clock::now();
+    const core::duration gap = now - mLastTick;
+    mLastTick = now;
+    if (gap <= mPauseLimit)
+        return;
+    // Tasks from before the pause run after the handler's own.
+    std::vector<std::function<void()>> earlier;
+    earlier.swap(mPosted);
+    mPauseHandler(gap);
+    runPosted();
+    earlier.insert(earlier.end(), std::make_move_iterator(mPosted.begin()),
+                   std::make_move_iterator(mPosted.end()));
+    mPosted.swap(earlier);
+}
+
 void event_loop::runPosted()
 {
     // Tasks posted by these tasks run in the next round, so that sockets are served in between.
--- a/corneltally/kernel/event_loop.h
+++ b/corneltally/kernel/event_loop.h
@@ -32,17 +32,27 @@
     /// Calls a handler with the process's signal number when the signal arrives.
     void onSignal(int inSignal, std::function<void()> inHandler);
 
+    /// Calls a handler when the process did not run for longer than a limit, for example because it
+    /// was stopped. Messages that the handler posts are handled before anything that waited during
+    /// the pause.
+    void watchPauses(core::duration inLimit, std::function<void(core::duration inGap)> inHandler);
+
     event_base *base() const { return mBase; }
 
 private:
     struct signal_watch;
 
     void runPosted();
+    void tick();
 
     event_base *mBase;
     event *mWakeEvent;
     std::vector<std::function<void()>> mPosted;
     std::vector<std::unique_ptr<signal_watch>> mSignals;
+    event *mTickEvent = nullptr;
+    core::time_point mLastTick;
+    core::duration mPauseLimit{};
+    std::function<void(core::duration)> mPauseHandler;
 };
 
 } // namespace corneltally::kernel
