Do not dispatch to owners that are not connected

Change: the endpoint directory tracks which peers messages reach; runs wait for the next owner. Bodies that grow when they are written again, and answers that do not fit into a frame, end with a typed error.

--- a/corneltally/entry/caller_request.cpp
+++ b/corneltally/entry/caller_request.cpp
@@ -41,6 +41,12 @@
     return {core::error_kind::invalid_request, std::move(inMessage), std::move(inRemedy)};
 }
 
+core::error tooLong()
+{
+    return invalid("the body is longer than " + std::to_string(cMaxCallerBodyBytes) + " bytes",
+                   "send a shorter request");
+}
+
 double estimateTokens(std::size_t inBytes)
 {
     return std::max(1.0, static_cast<double>(inBytes) / cBytesPerToken);
@@ -200,6 +206,9 @@
     inBase.stream = *stream;
     // Invalid UTF-8 is refused by the parser, so that this cannot fail.
     inBase.body = body.dump();
+    // Numbers may get longer when they are written again.
+    if (inBase.body.size() > cMaxCallerBodyBytes)
+        return tooLong();
     return inBase;
 }
 
@@ -260,8 +269,7 @@
                            const received_request &inRequest)
 {
     if (inRequest.body.size() > cMaxCallerBodyBytes)
-        return invalid("the body is longer than " + std::to_string(cMaxCallerBodyBytes) + " bytes",
-                       "send a shorter request");
+        return tooLong();
     if (const std::optional<core::error> repeated = findKeyInRequest(inRequest))
         return *repeated;
     run base{.route = inRoute.name,
--- a/corneltally/entry/dispatch_service.cpp
+++ b/corneltally/entry/dispatch_service.cpp
@@ -80,6 +80,9 @@
     });
     mRegistry.handle<peers_changed>(
         name(), [this](const peers_changed &inChange) { applyPeers(inChange); });
+    mRegistry.handle<peer_connected>(name(), [this](const peer_connected &inConnected) {
+        mDirectory.setConnected(inConnected.instance, true);
+    });
     mRegistry.handle<peer_lost>(name(), [this](const peer_lost &inLost) { applyLost(inLost); });
 }
 
@@ -402,7 +405,7 @@
                             {inChange.draining.begin(), inChange.draining.end()});
     std::vector<std::string> lost;
     for (const auto &[id, running] : mRuns) {
-        if (!running->owner.empty() && !mDirectory.isReachable(running->owner))
+        if (!running->owner.empty() && !mDirectory.isPresent(running->owner))
             lost.push_back(id);
     }
     for (const std::string &id : lost)
@@ -411,6 +414,7 @@
 
 void dispatch_service::applyLost(const peer_lost &inLost)
 {
+    mDirectory.setConnected(inLost.instance, false);
     std::vector<std::string> affected;
     for (const auto &[id, running] : mRuns) {
         // Whether the owner got a run that must not be repeated is not known; its events may
--- a/corneltally/entry/endpoint_directory.cpp
+++ b/corneltally/entry/endpoint_directory.cpp
@@ -33,22 +33,35 @@
 {
     entry &known = mEntries[inStatus.endpoint];
     if (known.status && known.status->owner != inStatus.owner
-        && !replacesStatus(known.status->fence, isReachable(known.status->owner), inStatus.fence))
+        && !replacesStatus(known.status->fence, isPresent(known.status->owner), inStatus.fence))
         return;
     known.status = inStatus;
     known.dispatchedSinceReport = 0;
 }
 
-bool endpoint_directory::isReachable(std::string_view inInstance) const
+bool endpoint_directory::isPresent(std::string_view inInstance) const
 {
     return inInstance == mInstance || mLive.contains(inInstance) || mDraining.contains(inInstance);
 }
 
+bool endpoint_directory::isConnected(std::string_view inInstance) const
+{
+    return inInstance == mInstance || !mDisconnected.contains(inInstance);
+}
+
+void endpoint_directory::setConnected(const std::string &inInstance, bool inConnected)
+{
+    if (inConnected)
+        mDisconnected.erase(inInstance);
+    else
+        mDisconnected.insert(inInstance);
+}
+
 std::optional<std::string> endpoint_directory::ownerOf(std::string_view inEndpoint) const
 {
     const auto known = mEntries.find(inEndpoint);
-    if (known == mEntries.end() || !known->second.status
-        || !isReachable(known->second.status->owner))
+    if (known == mEntries.end() || !known->second.status || !isPresent(known->second.status->owner)
+        || !isConnected(known->second.status->owner))
         return std::nullopt;
     return known->second.status->owner;
 }
--- a/corneltally/entry/endpoint_directory.h
+++ b/corneltally/entry/endpoint_directory.h
@@ -32,13 +32,15 @@
     void setCatalog(std::shared_ptr<const settings::catalog> inCatalog);
     /// Instances that take runs, and instances that only finish theirs.
     void setInstances(name_set inLive, name_set inDraining);
+    /// Whether messages reach an instance, which may be live but not connected for a while.
+    void setConnected(const std::string &inInstance, bool inConnected);
     /// Endpoints that the platform reports as leaving.
     void setLeaving(name_set inLeaving) { mLeaving = std::move(inLeaving); }
     void takeStatus(const endpoint_status &inStatus, core::time_point inNow);
 
     /// Whether an instance can still finish runs.
-    bool isReachable(std::string_view inInstance) const;
-    /// The known owner of an endpoint, if it is reachable.
+    bool isPresent(std::string_view inInstance) const;
+    /// The known owner of an endpoint, if messages reach it.
     std::optional<std::string> ownerOf(std::string_view inEndpoint) const;
     const settings::endpoint_view *find(std::string_view inEndpoint) const;
 
@@ -69,6 +71,7 @@
     };
 
     void ended(const run &inRun, entry &ioEntry, core::time_point inNow);
+    bool isConnected(std::string_view inInstance) const;
     bool takesWork(const settings::endpoint_view &inEndpoint) const;
     std::string failureDomain() const;
 
@@ -76,6 +79,7 @@
     std::shared_ptr<const settings::catalog> mCatalog;
     name_set mLive;
     name_set mDraining;
+    name_set mDisconnected;
     name_set mLeaving;
     std::map<std::string, entry, std::less<>> mEntries;
     scheduling::placement mPlacement;
--- a/corneltally/entry/peers_service.cpp
+++ b/corneltally/entry/peers_service.cpp
@@ -31,6 +31,16 @@
     return text;
 }
 
+/// Tells the origin of a run that its answer does not fit into a frame.
+peer_message tooLongEnd(const run_event &inEvent)
+{
+    return run_event{inEvent.requestId,
+                     run_end{.outcome = run_outcome::unknown,
+                             .error = {core::error_kind::internal,
+                                       "a part of the answer is too long to be passed on",
+                                       "ask for a shorter answer, or for a stream"}}};
+}
+
 } // namespace
 
 peers_service::peers_service(kernel::service_registry &inRegistry, peers_options inOptions)
@@ -355,8 +365,12 @@
         || std::holds_alternative<run_cancel>(inSend.message)
         || std::holds_alternative<run_event>(inSend.message);
     // Other messages are repeated by their senders.
-    if (!sendTo(inSend.instance, body) && concernsRun)
+    if (sendTo(inSend.instance, body) || !concernsRun)
+        return;
+    if (body.size() <= peer::cMaxFrameBytes)
         reportLost(inSend.instance);
+    else if (const auto *event = std::get_if<run_event>(&inSend.message))
+        sendTo(inSend.instance, encodePeerFrame(tooLongEnd(*event), core::boot_clock::now()));
 }
 
 bool peers_service::sendTo(const std::string &inInstance, std::string_view inBody)
