--- a/corneltally/settings/settings_tree_toml.cpp
+++ b/corneltally/settings/settings_tree_toml.cpp
@@ -47,17 +47,21 @@
     settings_tree tree;
     line_map lines;
     for (const toml_document::entry &entry : document.entries()) {
-        const std::string path = pathOf(entry.table);
-        if (entry.isTable) {
-            std::vector<std::string> names = entry.table;
+        std::vector<std::string> names = entry.table;
+        if (entry.isTable)
             names.push_back(entry.key);
-            lines[{pathOf(names), ""}] = entry.line;
+        const std::string path = pathOf(names);
+        const node_kind kind = kindOf(path);
+        // Of nested unknown tables only the outermost is reported.
+        if (kind == node_kind::unknown && kindOf(parentPath(path)) == node_kind::unknown)
+            continue;
+        if (entry.isTable) {
+            lines[{path, ""}] = entry.line;
             // Groups without own values need no node; unknown ones need one to be reported.
-            const node_kind kind = kindOf(pathOf(names));
             const bool isGroup
                 = kind == node_kind::keys || (names.size() == 1 && kind != node_kind::unknown);
-            if (!isGroup && !tree.contains(pathOf(names)))
-                tree.replaceNode(pathOf(names), node());
+            if (!isGroup && !tree.contains(path))
+                tree.replaceNode(path, node());
             continue;
         }
         lines[{path, entry.key}] = entry.line;
--- a/corneltally/settings/tree_validation.cpp
+++ b/corneltally/settings/tree_validation.cpp
@@ -52,12 +52,13 @@
         if (names == nullptr)
             continue;
         for (const std::string &name : *names) {
-            const std::string target = "/" + group + "/" + name;
+            const std::string target = std::string("/").append(group).append("/").append(name);
+            const std::string quoted = std::string("\"").append(name).append("\"");
             if (!inTree.contains(target))
-                ioProblems.push_back({inPath, group, "\"" + name + "\" is not in /" + group,
+                ioProblems.push_back({inPath, group, quoted + " is not in /" + group,
                                       "add it there or take it off the list"});
             else if (group == "endpoints" && textAt(inTree, target, "kind", "model") != kind)
-                ioProblems.push_back({inPath, group, "\"" + name + "\" is not of kind " + kind,
+                ioProblems.push_back({inPath, group, quoted + " is not of kind " + kind,
                                       "list only endpoints of the route's kind"});
         }
     }
