--- /dev/null
+++ b/corneltally/settings/settings_replica.cpp
@@ -0,0 +1,206 @@
+#include "corneltally/settings/settings_replica.h"
+
+#include "corneltally/settings/change.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace corneltally::settings {
+
+namespace {
+
+/// Bounds on records that wait for earlier ones and on records kept for peers.
+constexpr std::size_t cMaxWaitingBytes = 16 * 1024 * 1024;
+constexpr std::size_t cMaxHistoryBytes = 1024 * 1024;
+constexpr std::size_t cMaxHistoryRecords = 4'096;
+
+/// Versions start at 1, since 0 stands for an absent node. A log may number its records from 0 or
+/// from 1: a record at 0 is always rejected, so that it makes no difference whether it exists.
+constexpr std::uint64_t cFirstVersion = 1;
+
+} // namespace
+
+std::vector<record_verdict> settings_replica::addLogRecord(std::uint64_t inOffset,
+                                                           std::string_view inData,
+                                                           std::int64_t inTimeMs)
+{
+    mRetention.noteRecord(inOffset, inTimeMs);
+    if (!snapshot_part::sIsSnapshot(inData))
+        return add(inOffset, inData);
+    std::vector<record_verdict> verdicts;
+    if (auto part = snapshot_part::sFromRecord(inData)) {
+        mRetention.notePart(*part, inOffset, inTimeMs);
+        if (part->offset >= mNext && !isNext(inOffset)) {
+            if (const auto complete = mAssembler.add(*std::move(part)))
+                adopt(*complete);
+        }
+    }
+    verdicts = add(inOffset, cSnapshotPlaceholder);
+    applyWaiting(verdicts);
+    return verdicts;
+}
+
+std::vector<record_verdict> settings_replica::addPeerRecord(std::uint64_t inOffset,
+                                                            std::string_view inData)
+{
+    return add(inOffset, snapshot_part::sIsSnapshot(inData) ? cSnapshotPlaceholder : inData);
+}
+
+std::vector<record_verdict> settings_replica::addPeerSnapshot(std::string_view inRecord)
+{
+    std::vector<record_verdict> verdicts;
+    auto part = snapshot_part::sFromRecord(inRecord);
+    if (!part || part->offset < mNext)
+        return verdicts;
+    if (const auto complete = mAssembler.add(*std::move(part)))
+        adopt(*complete);
+    applyWaiting(verdicts);
+    return verdicts;
+}
+
+void settings_replica::noteLogStart(std::uint64_t inFirst, std::int64_t inNowMs)
+{
+    mRetention.noteLogStart(inFirst, inNowMs);
+    if (inFirst > std::max(mNext, cFirstVersion))
+        mGapFromLog = inFirst;
+}
+
+std::vector<record_verdict> settings_replica::add(std::uint64_t inOffset, std::string_view inData)
+{
+    std::vector<record_verdict> verdicts;
+    if (isNext(inOffset)) {
+        verdicts.push_back(applyNext(inOffset, inData));
+        applyWaiting(verdicts);
+    } else if (inOffset > mNext) {
+        keepWaiting(inOffset, inData);
+    }
+    return verdicts;
+}
+
+bool settings_replica::isNext(std::uint64_t inOffset) const
+{
+    return inOffset == mNext || (mNext == 0 && inOffset == cFirstVersion);
+}
+
+record_verdict settings_replica::applyNext(std::uint64_t inOffset, std::string_view inData)
+{
+    assert(isNext(inOffset));
+    mNext = inOffset + 1;
+    keepHistory(inOffset, inData);
+    record_verdict verdict{.offset = inOffset};
+    if (snapshot_part::sIsSnapshot(inData)) {
+        verdict.outcome = record_outcome::snapshot;
+        return verdict;
+    }
+    const core::result<change> parsed = change::sFromJson(inData);
+    if (!parsed) {
+        verdict.reason = parsed.reason();
+        return verdict;
+    }
+    verdict.changeId = parsed->id;
+    verdict.author = parsed->author;
+    if (inOffset < cFirstVersion)
+        verdict.reason
+            = {core::error_kind::conflict, "the first record of the log carries no change",
+               "publish the change again"};
+    else if (auto reason = mTree.applyInPlace(*parsed, inOffset))
+        verdict.reason = *std::move(reason);
+    else
+        verdict.outcome = record_outcome::accepted;
+    return verdict;
+}
+
+void settings_replica::keepWaiting(std::uint64_t inOffset, std::string_view inData)
+{
+    const auto [entry, isNew] = mWaiting.emplace(inOffset, inData);
+    if (isNew)
+        mWaitingBytes += inData.size();
+    // The lowest offsets are the ones that a snapshot most likely covers.
+    while (mWaitingBytes > cMaxWaitingBytes) {
+        mWaitingBytes -= mWaiting.begin()->second.size();
+        mWaiting.erase(mWaiting.begin());
+    }
+}
+
+void settings_replica::keepHistory(std::uint64_t inOffset, std::string_view inData)
+{
+    mHistory.push_back({inOffset, std::string(inData)});
+    mHistoryBytes += inData.size();
+    while (mHistoryBytes > cMaxHistoryBytes || mHistory.size() > cMaxHistoryRecords) {
+        mHistoryBytes -= mHistory.front().data.size();
+        mHistory.pop_front();
+    }
+}
+
+void settings_replica::adopt(const snapshot_assembler::snapshot &inSnapshot)
+{
+    if (inSnapshot.offset < mNext)
+        return;
+    core::result<settings_tree> tree = settings_tree::sFromJson(inSnapshot.tree);
+    if (!tree || tree->version() > inSnapshot.offset || tree->version() < mTree.version())
+        return;
+    mTree = std::move(tree).value();
+    mNext = inSnapshot.offset + 1;
+    mHistory.clear();
+    mHistoryBytes = 0;
+    mAssembler.dropThrough(inSnapshot.offset);
+}
+
+void settings_replica::applyWaiting(std::vector<record_verdict> &ioVerdicts)
+{
+    while (!mWaiting.empty()
+           && (mWaiting.begin()->first < mNext || isNext(mWaiting.begin()->first))) {
+        auto entry = mWaiting.extract(mWaiting.begin());
+        mWaitingBytes -= entry.mapped().size();
+        if (entry.key() >= mNext)
+            ioVerdicts.push_back(applyNext(entry.key(), entry.mapped()));
+    }
+    if (mGapFromLog <= mNext)
+        mGapFromLog = 0;
+}
+
+std::optional<std::vector<settings_replica::record>>
+settings_replica::recordsAfter(std::uint64_t inOffset, std::size_t inMaxBytes) const
+{
+    std::vector<record> records;
+    if (inOffset + 1 >= mNext)
+        return records;
+    if (mHistory.empty() || mHistory.front().offset > std::max(inOffset + 1, cFirstVersion))
+        return std::nullopt;
+    std::size_t bytes = 0;
+    const auto start = std::ranges::lower_bound(mHistory, inOffset + 1, {}, &record::offset);
+    for (auto entry = start; entry != mHistory.end(); ++entry) {
+        bytes += entry->data.size();
+        if (!records.empty() && bytes > inMaxBytes)
+            break;
+        records.push_back(*entry);
+    }
+    return records;
+}
+
+std::vector<std::string> settings_replica::snapshotRecords() const
+{
+    std::vector<std::string> records;
+    if (mNext == 0)
+        return records;
+    const auto parts = snapshot_part::sSplit(mNext - 1, mTree.toJson());
+    records.reserve(parts.size());
+    for (const snapshot_part &part : parts)
+        records.push_back(part.toRecord());
+    return records;
+}
+
+bool settings_replica::snapshotDue(std::int64_t inNowMs, std::size_t inRank) const
+{
+    return mTree.version() > 0 && !hasGap() && mRetention.snapshotDue(inNowMs, inRank, retention());
+}
+
+std::chrono::seconds settings_replica::retention() const
+{
+    constexpr std::chrono::seconds cDefault{115'200};
+    const auto found = mTree.find("/", "log_retention_s");
+    const auto *seconds = found ? std::get_if<std::int64_t>(&found->value) : nullptr;
+    return seconds != nullptr ? std::chrono::seconds(*seconds) : cDefault;
+}
+
+} // namespace corneltally::settings
--- /dev/null
+++ b/corneltally/settings/settings_replica.h
@@ -0,0 +1,111 @@
+#pragma once
+
+#include "corneltally/core/error.h"
+#include "corneltally/settings/log_retention.h"
+#include "corneltally/settings/settings_tree.h"
+#include "corneltally/settings/snapshot_assembler.h"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace corneltally::settings {
+
+/// What became of a log record.
+enum class record_outcome : std::uint8_t {
+    /// The change is part of the tree.
+    accepted,
+    rejected,
+    /// A snapshot of what was already known.
+    snapshot,
+};
+
+/// Verdict on one log record. Every reader reaches the same one.
+struct record_verdict
+{
+    std::uint64_t offset = 0;
+    record_outcome outcome = record_outcome::rejected;
+    std::string changeId;
+    std::string author;
+    /// Set if the record was rejected.
+    core::error reason;
+};
+
+/// One instance's copy of the settings tree. It applies log records strictly by offset, whether
+/// they come from the log or from peers, and never goes back to an older version. Times are
+/// milliseconds of the wall clock.
+class settings_replica
+{
+public:
+    /// A log record as it is kept for peers.
+    struct record
+    {
+        std::uint64_t offset = 0;
+        std::string data;
+    };
+
+    /// Takes a record that was read from the log. Records that cannot be applied yet are kept.
+    /// Returns the verdicts on all records that were applied as a consequence.
+    std::vector<record_verdict> addLogRecord(std::uint64_t inOffset, std::string_view inData,
+                                             std::int64_t inTimeMs);
+
+    /// Takes a record that a peer passed on.
+    std::vector<record_verdict> addPeerRecord(std::uint64_t inOffset, std::string_view inData);
+
+    /// Takes a snapshot part that a peer sent. An older copy than this one has no effect.
+    std::vector<record_verdict> addPeerSnapshot(std::string_view inRecord);
+
+    /// Notes the first offset that the log still has.
+    void noteLogStart(std::uint64_t inFirst, std::int64_t inNowMs);
+
+    const settings_tree &tree() const { return mTree; }
+
+    /// Offset of the first record that is neither applied nor covered by the tree.
+    std::uint64_t nextOffset() const { return mNext; }
+
+    /// Whether later records are known that cannot be applied, because earlier ones are missing.
+    bool hasGap() const { return mGapFromLog > mNext || !mWaiting.empty(); }
+
+    /// Records after an offset, in order, up to a size; empty optional if they are not kept any
+    /// more, so that the peer needs a snapshot.
+    std::optional<std::vector<record>> recordsAfter(std::uint64_t inOffset,
+                                                    std::size_t inMaxBytes) const;
+
+    /// The tree as records to append to the log or to send to a peer.
+    std::vector<std::string> snapshotRecords() const;
+
+    /// Whether this instance has to write a snapshot to the log now.
+    bool snapshotDue(std::int64_t inNowMs, std::size_t inRank) const;
+
+    /// How long the log keeps records, according to the tree.
+    std::chrono::seconds retention() const;
+
+    const log_retention &logRetention() const { return mRetention; }
+
+private:
+    std::vector<record_verdict> add(std::uint64_t inOffset, std::string_view inData);
+    record_verdict applyNext(std::uint64_t inOffset, std::string_view inData);
+    void keepWaiting(std::uint64_t inOffset, std::string_view inData);
+    void keepHistory(std::uint64_t inOffset, std::string_view inData);
+    void adopt(const snapshot_assembler::snapshot &inSnapshot);
+    void applyWaiting(std::vector<record_verdict> &ioVerdicts);
+    bool isNext(std::uint64_t inOffset) const;
+
+    settings_tree mTree;
+    std::uint64_t mNext = 0;
+    /// First offset that the log had when records before it were missing; 0 without such a gap.
+    std::uint64_t mGapFromLog = 0;
+    std::map<std::uint64_t, std::string> mWaiting;
+    std::size_t mWaitingBytes = 0;
+    /// The latest applied records without a gap, for peers.
+    std::deque<record> mHistory;
+    std::size_t mHistoryBytes = 0;
+    snapshot_assembler mAssembler;
+    log_retention mRetention;
+};
+
+} // namespace corneltally::settings
--- /dev/null
+++ b/corneltally/settings/snapshot_assembler.cpp
@@ -0,0 +1,38 @@
+#include "corneltally/settings/snapshot_assembler.h"
+
+#include "corneltally/core/digest.h"
+
+namespace corneltally::settings {
+
+namespace {
+
+/// Incomplete snapshots kept at the same time; each takes at most the size of a tree.
+constexpr std::size_t cMaxSets = 4;
+
+} // namespace
+
+std::optional<snapshot_assembler::snapshot> snapshot_assembler::add(snapshot_part inPart)
+{
+    const std::pair key{inPart.offset, inPart.digest};
+    auto &parts = mSets[key];
+    parts.insert_or_assign(inPart.index, std::move(inPart.data));
+    if (parts.size() < inPart.count) {
+        if (mSets.size() > cMaxSets)
+            mSets.erase(mSets.begin());
+        return std::nullopt;
+    }
+    snapshot result{.offset = inPart.offset};
+    for (const auto &[index, data] : parts)
+        result.tree += data;
+    mSets.erase(key);
+    if (core::sha256Hex(result.tree) != inPart.digest)
+        return std::nullopt;
+    return result;
+}
+
+void snapshot_assembler::dropThrough(std::uint64_t inOffset)
+{
+    std::erase_if(mSets, [&](const auto &inSet) { return inSet.first.first <= inOffset; });
+}
+
+} // namespace corneltally::settings
--- a/corneltally/settings/tree_validation.cpp
+++ b/corneltally/settings/tree_validation.cpp
@@ -47,19 +47,23 @@
 {
     const std::string kind = textAt(inTree, inPath, "kind", "model");
     for (const std::string group : {"endpoints", "accounts"}) {
-        const auto found = inTree.find(inPath, group);
-        const auto *names = found ? std::get_if<std::vector<std::string>>(&found->value) : nullptr;
+        const auto listed = inTree.find(inPath, group);
+        const auto *names
+            = listed ? std::get_if<std::vector<std::string>>(&listed->value) : nullptr;
         if (names == nullptr)
             continue;
         for (const std::string &name : *names) {
             const std::string target = std::string("/").append(group).append("/").append(name);
-            const std::string quoted = std::string("\"").append(name).append("\"");
-            if (!inTree.contains(target))
-                ioProblems.push_back({inPath, group, quoted + " is not in /" + group,
-                                      "add it there or take it off the list"});
-            else if (group == "endpoints" && textAt(inTree, target, "kind", "model") != kind)
-                ioProblems.push_back({inPath, group, quoted + " is not of kind " + kind,
-                                      "list only endpoints of the route's kind"});
+            tree_problem found{inPath, group, "", ""};
+            if (!inTree.contains(target)) {
+                found.message.append("\"").append(name).append("\" is not in /").append(group);
+                found.remedy = "add it there or take it off the list";
+            } else if (group == "endpoints" && textAt(inTree, target, "kind", "model") != kind) {
+                found.message.append("\"").append(name).append("\" is not of kind ").append(kind);
+                found.remedy = "list only endpoints of the route's kind";
+            }
+            if (!found.message.empty())
+                ioProblems.push_back(std::move(found));
         }
     }
 }
