--- a/corneltally/entry/peers_messages.h
+++ b/corneltally/entry/peers_messages.h
@@ -98,6 +98,24 @@
     std::string instance;
 };
 
+/// Messages reach the peer from now on: it connected, or connected anew. What it may have missed
+/// before has to be sent again.
+struct peer_connected
+{
+    std::string instance;
+};
+
+/// Version of the settings tree that a peer has, from its heartbeat.
+struct peer_version
+{
+    std::string instance;
+    std::uint64_t version = 0;
+};
+
+/// A newer process runs under this instance's name, so that this one must stop.
+struct superseded
+{ };
+
 /// The process did not run for longer than the limit of the kernel.
 struct paused
 {
--- /dev/null
+++ b/corneltally/entry/settings_sync_options.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "corneltally/core/boot_clock.h"
+
+#include <string>
+
+namespace corneltally::entry {
+
+/// Parameters of the settings_sync service.
+struct settings_sync_options
+{
+    /// Name of this instance.
+    std::string instance;
+    /// How long a read waits at the log for a record. The tree is confirmed once per read.
+    std::chrono::milliseconds logWait{1'000};
+    /// First and longest delay before the log is tried again.
+    core::duration minRetryDelay = std::chrono::milliseconds(100);
+    core::duration maxRetryDelay = std::chrono::seconds(2);
+    /// Period in which peers are asked for what is missing.
+    core::duration peerPeriod = std::chrono::milliseconds(500);
+    core::duration snapshotCheckPeriod = std::chrono::seconds(5);
+};
+
+} // namespace corneltally::entry
--- /dev/null
+++ b/corneltally/entry/settings_sync_service.h
@@ -0,0 +1,430 @@
+#pragma once
+
+#include "corneltally/core/digest.h"
+#include "corneltally/core/json_log.h"
+#include "corneltally/entry/peers_messages.h"
+#include "corneltally/entry/settings_messages.h"
+#include "corneltally/entry/settings_sync_options.h"
+#include "corneltally/kernel/service.h"
+#include "corneltally/kernel/service_registry.h"
+#include "corneltally/kernel/timer.h"
+#include "corneltally/platform/log_client.h"
+#include "corneltally/platform/log_service.h"
+#include "corneltally/settings/catalog.h"
+#include "corneltally/settings/settings_replica.h"
+
+#include <algorithm>
+#include <chrono>
+#include <deque>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace corneltally::entry {
+
+/// Keeps the settings tree current from the log and from peers, and announces each version to all
+/// services. Either source is enough: an instance that is cut off from the platform follows its
+/// peers.
+template <platform::log_service Log>
+class settings_sync_service : public kernel::service
+{
+public:
+    settings_sync_service(kernel::service_registry &inRegistry, std::unique_ptr<Log> inLog,
+                          settings_sync_options inOptions);
+
+    std::string_view name() const override { return "settings_sync"; }
+    void start() override;
+    std::string dump() const override;
+
+    const settings::settings_replica &replica() const { return mReplica; }
+
+private:
+    using verdicts = std::vector<settings::record_verdict>;
+
+    void readLog();
+    void receivePage(const platform::read_result &inResult);
+    void addPage(const platform::read_result &inResult);
+    void retryLater(const core::error &inReason);
+    void receiveRequest(const peer_received<settings_request> &inRequest);
+    void receiveRecords(const peer_received<settings_records> &inRecords);
+    void receiveSnapshot(const peer_received<settings_snapshot> &inSnapshot);
+    void forward(const std::vector<platform::log_record> &inRecords, std::uint64_t inFrom);
+    void askPeer(const std::string &inInstance);
+    void report(const verdicts &inVerdicts);
+    void publish();
+    void confirm(core::time_point inAt);
+    void checkSnapshot();
+    void appendSnapshot();
+    std::size_t snapshotRank() const;
+    static std::int64_t sWallClockMs();
+
+    kernel::service_registry &mRegistry;
+    std::unique_ptr<Log> mLog;
+    settings_sync_options mOptions;
+    settings::settings_replica mReplica;
+    std::uint64_t mReadFrom = 0;
+    bool mLogReachable = false;
+    bool mLogEndSeen = false;
+    core::duration mRetryDelay;
+    std::optional<std::uint64_t> mPublished;
+    std::optional<core::time_point> mConfirmed;
+    /// When the log itself last confirmed the tree.
+    std::optional<core::time_point> mLogConfirmed;
+    std::vector<std::string> mLive;
+    std::vector<std::string> mSnapshotParts;
+    std::optional<core::time_point> mSnapshotHold;
+    std::uint64_t mAccepted = 0;
+    std::uint64_t mRejected = 0;
+    std::string mLastRejection;
+    std::mt19937_64 mRandom;
+    kernel::timer mRetryTimer;
+    kernel::timer mPeerTimer;
+    kernel::timer mSnapshotTimer;
+};
+
+extern template class settings_sync_service<platform::log_client>;
+
+namespace settings_sync_detail {
+
+constexpr std::string_view cStream = "settings";
+/// Bytes of records in one message to a peer, well below the limit of a frame.
+constexpr std::size_t cMaxMessageBytes = 512 * 1024;
+/// A log confirmation that is older than this is not passed on to peers.
+constexpr core::duration cPassOnAge = std::chrono::seconds(2);
+/// Greatest age of what a peer confirms: its own confirmation plus the time on a connection, which
+/// is closed after 2 s of silence.
+constexpr core::duration cPeerConfirmationAge = std::chrono::seconds(4);
+/// Time for a snapshot to come back from the log before another one may be written.
+constexpr core::duration cSnapshotHold = std::chrono::seconds(30);
+
+} // namespace settings_sync_detail
+
+template <platform::log_service Log>
+settings_sync_service<Log>::settings_sync_service(kernel::service_registry &inRegistry,
+                                                  std::unique_ptr<Log> inLog,
+                                                  settings_sync_options inOptions)
+    : mRegistry(inRegistry)
+    , mLog(std::move(inLog))
+    , mOptions(std::move(inOptions))
+    , mRetryDelay(mOptions.minRetryDelay)
+    , mRandom(std::random_device()())
+    , mRetryTimer(inRegistry.loop(), [this] { readLog(); })
+    , mPeerTimer(inRegistry.loop(), [this] { askPeer(""); })
+    , mSnapshotTimer(inRegistry.loop(), [this] { checkSnapshot(); })
+{
+    mRegistry.handle<peer_received<settings_request>>(
+        name(), [this](const auto &inRequest) { receiveRequest(inRequest); });
+    mRegistry.handle<peer_received<settings_records>>(
+        name(), [this](const auto &inRecords) { receiveRecords(inRecords); });
+    mRegistry.handle<peer_received<settings_snapshot>>(
+        name(), [this](const auto &inSnapshot) { receiveSnapshot(inSnapshot); });
+    mRegistry.handle<peer_connected>(
+        name(), [this](const peer_connected &inPeer) { askPeer(inPeer.instance); });
+    mRegistry.handle<peer_version>(name(), [this](const peer_version &inPeer) {
+        if (inPeer.version > mReplica.tree().version())
+            askPeer(inPeer.instance);
+    });
+    mRegistry.handle<peers_changed>(
+        name(), [this](const peers_changed &inChange) { mLive = inChange.live; });
+    mRegistry.handle<paused>(name(), [this](const paused &) {
+        // A read from before the pause would wait for an answer that may never come.
+        mLog->cancelAll();
+        mSnapshotParts.clear();
+        readLog();
+    });
+}
+
+template <platform::log_service Log>
+void settings_sync_service<Log>::start()
+{
+    readLog();
+    mPeerTimer.startRepeating(mOptions.peerPeriod);
+    mSnapshotTimer.startRepeating(mOptions.snapshotCheckPeriod);
+}
+
+template <platform::log_service Log>
+void settings_sync_service<Log>::readLog()
+{
+    mRetryTimer.cancel();
+    // Until the end of the log was seen there is nothing to wait for.
+    const std::chrono::milliseconds wait
+        = mLogEndSeen && mLogReachable ? mOptions.logWait : std::chrono::milliseconds(0);
+    mLog->read(
+        {.stream = std::string(settings_sync_detail::cStream), .from = mReadFrom, .wait = wait},
+        [this](const platform::read_result &inResult) { receivePage(inResult); });
+}
+
+template <platform::log_service Log>
+void settings_sync_service<Log>::receivePage(const platform::read_result &inResult)
+{
+    if (inResult.outcome == platform::read_outcome::failed
+        || (inResult.outcome == platform::read_outcome::expired && inResult.first <= mReadFrom)) {
+        retryLater(inResult.reason);
+        return;
+    }
+    if (!mLogReachable)
+        core::logEvent(core::log_level::info, "settings_log_connected", {{"from", mReadFrom}});
+    mLogReachable = true;
+    mRetryDelay = mOptions.minRetryDelay;
+    mReplica.noteLogStart(inResult.first, sWallClockMs());
+    if (inResult.outcome == platform::read_outcome::expired) {
+        mReadFrom = inResult.first;
+    } else {
+        addPage(inResult);
+        if (inResult.next < mReadFrom) {
+            retryLater({core::error_kind::unavailable,
+                        "the log ends at " + std::to_string(inResult.next)
+                            + ", before records that were read from it",
+                        "check that the platform address names the right log"});
+            return;
+        }
+    }
+    readLog();
+}
+
+template <platform::log_service Log>
+void settings_sync_service<Log>::addPage(const platform::read_result &inResult)
+{
+    const std::uint64_t known = mReplica.nextOffset();
+    for (const platform::log_record &record : inResult.records) {
+        report(mReplica.addLogRecord(record.offset, record.data, record.timeMs));
+        mReadFrom = std::max(mReadFrom, record.offset + 1);
+    }
+    forward(inResult.records, known);
+    if (mReadFrom < inResult.next)
+        return;
+    mLogEndSeen = true;
+    if (mReplica.hasGap()) {
+        askPeer("");
+        return;
+    }
+    publish();
+    mLogConfirmed = inResult.sentAt;
+    confirm(inResult.sentAt);
+}
+
+template <platform::log_service Log>
+void settings_sync_service<Log>::retryLater(const core::error &inReason)
+{
+    if (mLogReachable || !mLogEndSeen)
+        core::logEvent(core::log_level::warning, "settings_log_unreachable",
+                       {{"reason", inReason.message}, {"remedy", inReason.remedy}});
+    mLogReachable = false;
+    // Full jitter, so that instances do not return all at once after an outage.
+    std::uniform_int_distribution<core::duration::rep> delay(mOptions.minRetryDelay.count() / 2,
+                                                             mRetryDelay.count());
+    mRetryTimer.startOnce(core::duration(delay(mRandom)));
+    mRetryDelay = std::min(mRetryDelay * 2, mOptions.maxRetryDelay);
+}
+
+template <platform::log_service Log>
+void settings_sync_service<Log>::receiveRequest(const peer_received<settings_request> &inRequest)
+{
+    const std::uint64_t after = inRequest.message.afterOffset;
+    const std::uint64_t next = mReplica.nextOffset();
+    if (next == 0 || after >= next)
+        return;
+    const auto records = mReplica.recordsAfter(after, settings_sync_detail::cMaxMessageBytes);
+    // A peer without a tree gets the newest one at once, not its history.
+    if (!records || (after == 0 && mReplica.tree().version() > 0)) {
+        for (std::string &part : mReplica.snapshotRecords())
+            mRegistry.post("peers",
+                           peer_send{inRequest.instance, settings_snapshot{next - 1, part}});
+        return;
+    }
+    settings_records answer;
+    for (const auto &record : *records)
+        answer.records.push_back({record.offset, record.data});
+    const bool isConfirmed = mLogConfirmed
+        && core::boot_clock::now() - *mLogConfirmed <= settings_sync_detail::cPassOnAge;
+    // An answer without records says that the peer has what the log has.
+    if (!answer.records.empty() || isConfirmed)
+        mRegistry.post("peers", peer_send{inRequest.instance, answer});
+}
+
+template <platform::log_service Log>
+void settings_sync_service<Log>::receiveRecords(const peer_received<settings_records> &inRecords)
+{
+    for (const settings_record &record : inRecords.message.records)
+        report(mReplica.addPeerRecord(record.offset, record.data));
+    if (mReplica.hasGap()) {
+        askPeer(inRecords.instance);
+        return;
+    }
+    publish();
+    if (inRecords.message.records.empty())
+        confirm(core::boot_clock::now() - settings_sync_detail::cPeerConfirmationAge);
+}
+
+template <platform::log_service Log>
+void settings_sync_service<Log>::receiveSnapshot(const peer_received<settings_snapshot> &inSnapshot)
+{
+    const std::uint64_t before = mReplica.nextOffset();
+    report(mReplica.addPeerSnapshot(inSnapshot.message.tree));
+    if (mReplica.nextOffset() == before)
+        return;
+    core::logEvent(core::log_level::info, "settings_adopted_from_peer",
+                   {{"peer", inSnapshot.instance},
+                    {"version", mReplica.tree().version()},
+                    {"next_before", before},
+                    {"next", mReplica.nextOffset()}});
+    if (!mReplica.hasGap())
+        publish();
+}
+
+template <platform::log_service Log>
+void settings_sync_service<Log>::forward(const std::vector<platform::log_record> &inRecords,
+                                         std::uint64_t inFrom)
+{
+    // While the history is read at the start, peers know it already.
+    if (!mLogEndSeen)
+        return;
+    settings_records message;
+    std::size_t bytes = 0;
+    const auto send = [&] {
+        if (!message.records.empty())
+            mRegistry.post("peers", peer_send{"", message});
+        message.records.clear();
+        bytes = 0;
+    };
+    for (const platform::log_record &record : inRecords) {
+        if (record.offset < inFrom)
+            continue;
+        const bool isLong = settings::snapshot_part::sIsSnapshot(record.data);
+        message.records.push_back(
+            {record.offset, isLong ? std::string(settings::cSnapshotPlaceholder) : record.data});
+        bytes += message.records.back().data.size();
+        if (bytes >= settings_sync_detail::cMaxMessageBytes / 2)
+            send();
+    }
+    send();
+}
+
+template <platform::log_service Log>
+void settings_sync_service<Log>::askPeer(const std::string &inInstance)
+{
+    const std::uint64_t next = mReplica.nextOffset();
+    mRegistry.post("peers", peer_send{inInstance, settings_request{next == 0 ? 0 : next - 1}});
+}
+
+template <platform::log_service Log>
+void settings_sync_service<Log>::report(const verdicts &inVerdicts)
+{
+    for (const settings::record_verdict &verdict : inVerdicts) {
+        if (verdict.outcome == settings::record_outcome::snapshot)
+            continue;
+        const bool isAccepted = verdict.outcome == settings::record_outcome::accepted;
+        (isAccepted ? mAccepted : mRejected) += 1;
+        if (!isAccepted)
+            mLastRejection = verdict.changeId + ": " + verdict.reason.message;
+        // The history that is read at the start was logged when it happened.
+        if (!mPublished)
+            continue;
+        core::logEvent(isAccepted ? core::log_level::info : core::log_level::warning,
+                       isAccepted ? "settings_change_accepted" : "settings_change_rejected",
+                       {{"change", verdict.changeId},
+                        {"author", verdict.author},
+                        {"offset", verdict.offset},
+                        {"reason", verdict.reason.message},
+                        {"remedy", verdict.reason.remedy}});
+    }
+}
+
+template <platform::log_service Log>
+void settings_sync_service<Log>::publish()
+{
+    const settings::settings_tree &tree = mReplica.tree();
+    if (tree.version() == 0 || mPublished == tree.version())
+        return;
+    mPublished = tree.version();
+    core::logEvent(core::log_level::info, "settings_in_force", {{"version", tree.version()}});
+    mRegistry.broadcast(catalog_changed{std::make_shared<const settings::catalog>(tree)});
+}
+
+template <platform::log_service Log>
+void settings_sync_service<Log>::confirm(core::time_point inAt)
+{
+    if (!mPublished || (mConfirmed && *mConfirmed >= inAt))
+        return;
+    mConfirmed = inAt;
+    mRegistry.broadcast(settings_confirmed{inAt});
+}
+
+template <platform::log_service Log>
+void settings_sync_service<Log>::checkSnapshot()
+{
+    const core::time_point now = core::boot_clock::now();
+    if (!mLogReachable || !mLogEndSeen || !mSnapshotParts.empty()
+        || (mSnapshotHold && now < *mSnapshotHold)
+        || !mReplica.snapshotDue(sWallClockMs(), snapshotRank()))
+        return;
+    mSnapshotHold = now + settings_sync_detail::cSnapshotHold;
+    mSnapshotParts = mReplica.snapshotRecords();
+    // The last part is appended first; the order does not matter to readers.
+    appendSnapshot();
+}
+
+template <platform::log_service Log>
+void settings_sync_service<Log>::appendSnapshot()
+{
+    mLog->append(std::string(settings_sync_detail::cStream), mSnapshotParts.back(),
+                 [this](const platform::append_result &inResult) {
+                     if (inResult.outcome != platform::append_outcome::appended) {
+                         // A part that is on the log all the same does no harm.
+                         core::logEvent(core::log_level::warning, "settings_snapshot_failed",
+                                        {{"reason", inResult.reason.message}});
+                         mSnapshotParts.clear();
+                         return;
+                     }
+                     mSnapshotParts.pop_back();
+                     if (!mSnapshotParts.empty())
+                         appendSnapshot();
+                     else
+                         core::logEvent(core::log_level::info, "settings_snapshot_written",
+                                        {{"offset", inResult.offset}});
+                 });
+}
+
+template <platform::log_service Log>
+std::size_t settings_sync_service<Log>::snapshotRank() const
+{
+    const std::uint64_t own = core::rendezvousWeight("settings-snapshot", mOptions.instance);
+    return static_cast<std::size_t>(std::ranges::count_if(mLive, [&](const std::string &inName) {
+        return core::rendezvousWeight("settings-snapshot", inName) > own;
+    }));
+}
+
+template <platform::log_service Log>
+std::int64_t settings_sync_service<Log>::sWallClockMs()
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+               std::chrono::system_clock::now().time_since_epoch())
+        .count();
+}
+
+template <platform::log_service Log>
+std::string settings_sync_service<Log>::dump() const
+{
+    const core::time_point now = core::boot_clock::now();
+    const auto age = [&](const std::optional<core::time_point> &inTime) {
+        return inTime ? std::to_string((now - *inTime).count() / 1000) : std::string("null");
+    };
+    std::string text = "{\"version\":" + std::to_string(mReplica.tree().version());
+    text += ",\"in_force\":" + (mPublished ? std::to_string(*mPublished) : "null");
+    text += ",\"next_offset\":" + std::to_string(mReplica.nextOffset());
+    text += std::string(",\"gap\":") + (mReplica.hasGap() ? "true" : "false");
+    text += std::string(",\"log_reachable\":") + (mLogReachable ? "true" : "false");
+    text += ",\"confirmed_age_ms\":" + age(mConfirmed);
+    text += ",\"log_confirmed_age_ms\":" + age(mLogConfirmed);
+    text += ",\"nodes\":" + std::to_string(mReplica.tree().nodes().size());
+    text += ",\"accepted\":" + std::to_string(mAccepted);
+    text += ",\"rejected\":" + std::to_string(mRejected);
+    text += ",\"last_rejection\":\"" + core::jsonEscape(mLastRejection) + "\"";
+    text
+        += ",\"snapshot_offset\":" + std::to_string(mReplica.logRetention().snapshotOffset()) + "}";
+    return text;
+}
+
+} // namespace corneltally::entry
--- a/corneltally/settings/settings_replica.cpp
+++ b/corneltally/settings/settings_replica.cpp
@@ -13,11 +13,19 @@
 constexpr std::size_t cMaxWaitingBytes = 16 * 1024 * 1024;
 constexpr std::size_t cMaxHistoryBytes = 1024 * 1024;
 constexpr std::size_t cMaxHistoryRecords = 4'096;
+/// Longer changes are rejected: they would not fit into a message between instances.
+constexpr std::size_t cMaxChangeBytes = 512 * 1024;
 
 /// Versions start at 1, since 0 stands for an absent node. A log may number its records from 0 or
 /// from 1: a record at 0 is always rejected, so that it makes no difference whether it exists.
 constexpr std::uint64_t cFirstVersion = 1;
 
+/// The data of a record, or what is kept in place of a change that is too long.
+std::string_view withinLimit(std::string_view inData)
+{
+    return inData.size() > cMaxChangeBytes ? std::string_view("too long") : inData;
+}
+
 } // namespace
 
 std::vector<record_verdict> settings_replica::addLogRecord(std::uint64_t inOffset,
@@ -26,7 +34,7 @@
 {
     mRetention.noteRecord(inOffset, inTimeMs);
     if (!snapshot_part::sIsSnapshot(inData))
-        return add(inOffset, inData);
+        return add(inOffset, withinLimit(inData));
     std::vector<record_verdict> verdicts;
     if (auto part = snapshot_part::sFromRecord(inData)) {
         mRetention.notePart(*part, inOffset, inTimeMs);
@@ -43,7 +51,8 @@
 std::vector<record_verdict> settings_replica::addPeerRecord(std::uint64_t inOffset,
                                                             std::string_view inData)
 {
-    return add(inOffset, snapshot_part::sIsSnapshot(inData) ? cSnapshotPlaceholder : inData);
+    return add(inOffset,
+               snapshot_part::sIsSnapshot(inData) ? cSnapshotPlaceholder : withinLimit(inData));
 }
 
 std::vector<record_verdict> settings_replica::addPeerSnapshot(std::string_view inRecord)
