--- a/corneltally/http/exchange.h
+++ b/corneltally/http/exchange.h
@@ -30,6 +30,7 @@
     std::string_view header(std::string_view inName) const;
     /// Value of a query parameter; empty if it is absent.
     std::string_view query(std::string_view inName) const;
+    const header_list &queryParameters() const { return mQuery; }
 
     /// Sends a complete answer.
     void reply(int inStatus, const header_list &inHeaders, std::string_view inBody);
--- a/corneltally/kernel/event_loop.cpp
+++ b/corneltally/kernel/event_loop.cpp
@@ -26,8 +26,8 @@
     assert(mBase != nullptr);
     // A peer that closes its connection must not end the process by SIGPIPE.
     std::signal(SIGPIPE, SIG_IGN);
-    mWakeEvent = event_new(
-        mBase, -1, 0,
+    mWakeEvent = evtimer_new(
+        mBase,
         [](evutil_socket_t, short, void *inLoop) {
             static_cast<event_loop *>(inLoop)->runPosted();
         },
@@ -54,7 +54,11 @@
 void event_loop::post(std::function<void()> inTask)
 {
     mPosted.push_back(std::move(inTask));
-    event_active(mWakeEvent, EV_TIMEOUT, 0);
+    // event_active() from inside a callback would run the task in the same round, so that a chain
+    // of posts would keep sockets and timers from being served.
+    const timeval immediately{};
+    if (evtimer_pending(mWakeEvent, nullptr) == 0)
+        evtimer_add(mWakeEvent, &immediately);
 }
 
 void event_loop::onSignal(int inSignal, std::function<void()> inHandler)
