--- a/corneltally/entry/daemon.cpp
+++ b/corneltally/entry/daemon.cpp
@@ -10,6 +10,7 @@
 #include "corneltally/entry/metrics.h"
 #include "corneltally/entry/operator_api_service.h"
 #include "corneltally/entry/peers_service.h"
+#include "corneltally/entry/settings_sync_service.h"
 #include "corneltally/kernel/event_loop.h"
 #include "corneltally/kernel/service_registry.h"
 #include "corneltally/settings/process_settings.h"
@@ -85,6 +86,11 @@
     {
         mRegistry.add(
             std::make_unique<dispatch_service>(mRegistry, mMetrics, inSettings.instanceName));
+        mRegistry.add(std::make_unique<settings_sync_service<platform::log_client>>(
+            mRegistry,
+            std::make_unique<platform::log_client>(mLoop,
+                                                   http::parseAddress(inSettings.platformAddress)),
+            settings_sync_options{.instance = inSettings.instanceName}));
         substituteMissingServices(mRegistry);
     }
 
--- a/corneltally/entry/peers_service.cpp
+++ b/corneltally/entry/peers_service.cpp
@@ -155,7 +155,9 @@
 
 void peers_service::dialPeers(core::time_point inNow)
 {
-    for (auto &[instance, remote] : mRemotes) {
+    for (auto &entry : mRemotes) {
+        const std::string &instance = entry.first;
+        remote &target = entry.second;
         // A connection that still makes progress, or one that is still being opened, is enough.
         const bool connected = std::ranges::any_of(mLinks, [&](const auto &inEntry) {
             const link &candidate = inEntry.second;
@@ -163,12 +165,12 @@
                 && inNow - candidate.connection->lastProgress()
                 < membership::peer_table::cSuspectAfter;
         });
-        if (connected || remote.address.port == 0
-            || (remote.lastDial && inNow - *remote.lastDial < cDialPeriod))
+        if (connected || target.address.port == 0
+            || (target.lastDial && inNow - *target.lastDial < cDialPeriod))
             continue;
-        remote.lastDial = inNow;
-        addLink(std::make_unique<peer::connection>(mRegistry.loop(), remote.address.host,
-                                                   remote.address.port),
+        target.lastDial = inNow;
+        addLink(std::make_unique<peer::connection>(mRegistry.loop(), target.address.host,
+                                                   target.address.port),
                 instance);
     }
 }
