--- a/corneltally/entry/caller_request.cpp
+++ b/corneltally/entry/caller_request.cpp
@@ -41,9 +41,9 @@
     return {core::error_kind::invalid_request, std::move(inMessage), std::move(inRemedy)};
 }
 
-core::error tooLong()
+core::error tooLong(std::size_t inLimit)
 {
-    return invalid("the body is longer than " + std::to_string(cMaxCallerBodyBytes) + " bytes",
+    return invalid("the body is longer than " + std::to_string(inLimit) + " bytes",
                    "send a shorter request");
 }
 
@@ -208,7 +208,7 @@
     inBase.body = body.dump();
     // Numbers may get longer when they are written again.
     if (inBase.body.size() > cMaxCallerBodyBytes)
-        return tooLong();
+        return tooLong(cMaxCallerBodyBytes);
     return inBase;
 }
 
@@ -266,10 +266,11 @@
 }
 
 core::result<run> buildRun(const settings::catalog &inCatalog, const settings::route_view &inRoute,
-                           const received_request &inRequest)
+                           const received_request &inRequest, std::size_t inMaxBodyBytes)
 {
-    if (inRequest.body.size() > cMaxCallerBodyBytes)
-        return tooLong();
+    const std::size_t limit = std::min(inMaxBodyBytes, cMaxCallerBodyBytes);
+    if (inRequest.body.size() > limit)
+        return tooLong(limit);
     if (const std::optional<core::error> repeated = findKeyInRequest(inRequest))
         return *repeated;
     run base{.route = inRoute.name,
--- a/corneltally/entry/daemon.cpp
+++ b/corneltally/entry/daemon.cpp
@@ -38,6 +38,14 @@
         std::chrono::duration_cast<std::chrono::microseconds>(sinceEpoch).count());
 }
 
+http::server_limits callerLimits(const settings::process_limits &inLimits)
+{
+    return {.maxBodyBytes = static_cast<std::uint64_t>(inLimits.maxBodyBytes),
+            .requestTimeout = std::chrono::milliseconds(inLimits.requestTimeoutMs),
+            .idleTimeout = std::chrono::milliseconds(inLimits.idleTimeoutMs),
+            .maxConnections = static_cast<std::uint64_t>(inLimits.maxConnections)};
+}
+
 /// Services that this build lacks are answered for here.
 void substituteMissingServices(kernel::service_registry &ioRegistry)
 {
@@ -70,8 +78,9 @@
               front_end_options{.instance = inSettings.instanceName,
                                 .incarnation = mIncarnation,
                                 .listen = http::parseAddress(inSettings.callers),
-                                .maxConnections
-                                = static_cast<std::uint64_t>(inSettings.limits.maxConnections)})))
+                                .limits = callerLimits(inSettings.limits),
+                                .maxUnsentBytes
+                                = static_cast<std::size_t>(inSettings.limits.maxUnsentBytes)})))
         , mOperatorApi(mRegistry.add(
               std::make_unique<operator_api_service>(mRegistry, mMetrics, inSettings.instanceName,
                                                      http::parseAddress(inSettings.operators))))
--- a/corneltally/entry/front_end_service.cpp
+++ b/corneltally/entry/front_end_service.cpp
@@ -23,8 +23,6 @@
 using namespace std::chrono_literals;
 
 constexpr core::duration cSweepPeriod = 100ms;
-/// Bytes that a caller of a stream may leave unread before its connection is closed.
-constexpr std::size_t cMaxUnreadBytes = 256 * 1024;
 /// Longest time that a caller may take nothing of what waits for it.
 constexpr core::duration cWriteTimeout = 10s;
 /// How long requests wait after a pause for proof that the tree, and with it each key, is current.
@@ -39,8 +37,15 @@
 constexpr core::duration cDrainQuiet = 300ms;
 /// Tokens that an engine may generate before a cancellation reaches it.
 constexpr double cCancelOverrun = 16;
-/// The server itself refuses bodies over this size without an error body.
-constexpr std::uint64_t cServerBodyBytes = 4 * 1024 * 1024;
+/// The server closes connections with longer bodies without an error body, so that its limit is a
+/// multiple of the one that is answered.
+constexpr std::uint64_t cServerBodyFactor = 4;
+
+http::server_limits serverLimits(http::server_limits inLimits)
+{
+    inLimits.maxBodyBytes *= cServerBodyFactor;
+    return inLimits;
+}
 
 caller_error notRun(core::error_kind inKind, std::string inMessage, std::string inRemedy,
                     int inRetryAfter = 0)
@@ -62,8 +67,9 @@
     : mRegistry(inRegistry)
     , mMetrics(inMetrics)
     , mOptions(std::move(inOptions))
-    , mServer(inRegistry.loop(), [this](const exchange_pointer &inCaller) { receive(inCaller); },
-              {.maxBodyBytes = cServerBodyBytes, .maxConnections = mOptions.maxConnections})
+    , mServer(
+          inRegistry.loop(), [this](const exchange_pointer &inCaller) { receive(inCaller); },
+          serverLimits(mOptions.limits))
     , mSweep(inRegistry.loop(), [this] { sweep(); })
 {
     mRegistry.handle<catalog_changed>(
@@ -152,7 +158,8 @@
     }
     core::result<run> request
         = buildRun(*mCatalog, *route,
-                   {inCaller->method(), inCaller->path(), inCaller->body(), inCaller->headers()});
+                   {inCaller->method(), inCaller->path(), inCaller->body(), inCaller->headers()},
+                   mOptions.limits.maxBodyBytes);
     if (!request) {
         refuse(inCaller, {.error = request.reason()}, identity->account);
         return;
@@ -381,7 +388,7 @@
                 watchWrites(running.caller());
         }
         // An aborted exchange does not report its end by itself.
-        if (running.pendingBytes() > cMaxUnreadBytes) {
+        if (running.pendingBytes() > mOptions.maxUnsentBytes) {
             mMetrics.count("callers_closed_total{reason=\"unread\"}");
             running.dropCaller();
             callerLeft(inEvent.requestId);
--- a/corneltally/entry/front_end_service.h
+++ b/corneltally/entry/front_end_service.h
@@ -35,7 +35,10 @@
     std::string instance;
     std::uint64_t incarnation = 0;
     http::address listen;
-    std::uint64_t maxConnections = 10'000;
+    /// Limits of the listener; the body limit also applies to the typed refusal of long bodies.
+    http::server_limits limits;
+    /// Bytes of an answer that a caller may leave unread before its connection is closed.
+    std::size_t maxUnsentBytes = 1024 * 1024;
 };
 
 /// Serves the callers: checks keys and requests, has them admitted and claimed, starts runs and
--- a/corneltally/entry/peers_service.cpp
+++ b/corneltally/entry/peers_service.cpp
@@ -31,6 +31,14 @@
     return text;
 }
 
+std::string listNames(const std::vector<std::string> &inNames)
+{
+    std::string text;
+    for (const std::string &name : inNames)
+        text.append(text.empty() ? "" : " ").append(name);
+    return text;
+}
+
 /// Tells the origin of a run that its answer does not fit into a frame.
 peer_message tooLongEnd(const run_event &inEvent)
 {
@@ -208,7 +216,7 @@
     if (mPublished == change)
         return;
     core::logEvent(core::log_level::info, "peers_changed",
-                   {{"live", joinNames(change.live)}, {"draining", joinNames(change.draining)}});
+                   {{"live", listNames(change.live)}, {"draining", listNames(change.draining)}});
     mPublished = change;
     mRegistry.broadcast(change);
 }
@@ -276,6 +284,8 @@
         return;
     }
     const link &source = mLinks.at(inLink);
+    if (source.refused)
+        return;
     if (source.incarnation == 0) {
         closeLink(inLink, "a message came before the hello");
         return;
@@ -318,9 +328,15 @@
         source.connection->send(helloFor(source.instance));
         source.greeted = true;
     }
-    if (outcome == membership::heard_outcome::outdated
-        || outcome == membership::heard_outcome::ignored)
+    if (outcome == membership::heard_outcome::outdated) {
+        source.refused = true;
         return;
+    }
+    if (outcome == membership::heard_outcome::ignored) {
+        // The peer tries again, so that it is accepted once the tree names it.
+        closeLink(inLink, "the tree does not name the peer");
+        return;
+    }
     source.incarnation = inHello.incarnation;
     if (outcome == membership::heard_outcome::replaced)
         closeOlderLinks(inHello.instance, inHello.incarnation);
--- a/corneltally/entry/peers_service.h
+++ b/corneltally/entry/peers_service.h
@@ -61,6 +61,8 @@
         std::uint64_t incarnation = 0;
         bool dialed = false;
         bool greeted = false;
+        /// From an older process of the instance: it only learns which one replaced it.
+        bool refused = false;
     };
 
     struct remote
--- a/tests/unit/entry_datapath_test.cpp
+++ b/tests/unit/entry_datapath_test.cpp
@@ -52,7 +52,7 @@
     {
         const http::address any{"127.0.0.1", 0};
         frontEnd = &registry->add(std::make_unique<front_end_service>(
-            *registry, counters, front_end_options{inName, inIncarnation, any}));
+            *registry, counters, front_end_options{inName, inIncarnation, any, {}}));
         registry->add(std::make_unique<dispatch_service>(*registry, counters, inName));
         peers = &registry->add(std::make_unique<peers_service>(
             *registry, peers_options{inName, inIncarnation, any, {}}));
