Add the program with its subcommands and the settings publisher

Operators need one binary that checks files, publishes changes and shows what is in force. The publisher follows the log, appends a change and reports the verdict that every reader reaches; a lost answer is looked up by change id before the record is sent again. The subcommands are a library, so that unit tests call them; entry uses the daemon's start function once its header is present.

--- /dev/null
+++ b/apps/command_line.cpp
@@ -0,0 +1,89 @@
+#include "apps/command_line.h"
+
+#include <ostream>
+
+#include <boost/program_options.hpp>
+
+namespace corneltally::apps {
+
+namespace options = boost::program_options;
+
+command_line::command_line(std::string inCommand, std::string inSummary)
+    : mCommand(std::move(inCommand))
+    , mSummary(std::move(inSummary))
+{ }
+
+void command_line::add(std::string inName, std::string inWords, std::string inDescription,
+                       std::size_t inWordCount)
+{
+    mOptions.push_back(
+        {std::move(inName), std::move(inWords), std::move(inDescription), inWordCount});
+}
+
+bool command_line::parse(const std::vector<std::string> &inArguments, std::ostream &outText,
+                         std::ostream &outErrors)
+{
+    options::options_description description("Options");
+    description.add_options()("help", "show this text and end");
+    for (const option &entry : mOptions) {
+        auto *words = options::value<std::vector<std::string>>()->value_name(entry.words);
+        words->composing();
+        if (entry.wordCount > 1)
+            words->multitoken();
+        description.add_options()(entry.name.c_str(), words, entry.description.c_str());
+    }
+    try {
+        const auto style = options::command_line_style::unix_style
+            & ~options::command_line_style::allow_guessing;
+        options::positional_options_description none;
+        options::variables_map map;
+        options::store(options::command_line_parser(inArguments)
+                           .options(description)
+                           .positional(none)
+                           .style(style)
+                           .run(),
+                       map);
+        if (map.count("help") > 0) {
+            outText << "Usage: corneltally " << mCommand << " [options]\n"
+                    << mSummary << "\n\n"
+                    << description;
+            return false;
+        }
+        for (const option &entry : mOptions) {
+            if (map.count(entry.name) > 0)
+                mValues[entry.name] = map[entry.name].as<std::vector<std::string>>();
+        }
+    } catch (const options::error &failure) {
+        mExitCode = fail(failure.what(), outErrors);
+        return false;
+    }
+    for (const option &entry : mOptions) {
+        if (values(entry.name).size() % entry.wordCount != 0) {
+            mExitCode = fail("--" + entry.name + " needs " + entry.words, outErrors);
+            return false;
+        }
+    }
+    return true;
+}
+
+const std::vector<std::string> &command_line::values(const std::string &inName) const
+{
+    static const std::vector<std::string> sNone;
+    const auto found = mValues.find(inName);
+    return found == mValues.end() ? sNone : found->second;
+}
+
+std::string command_line::value(const std::string &inName, std::string_view inDefault) const
+{
+    const std::vector<std::string> &words = values(inName);
+    return words.empty() ? std::string(inDefault) : words.back();
+}
+
+int command_line::fail(std::string_view inMessage, std::ostream &outErrors) const
+{
+    outErrors << "corneltally " << mCommand << ": " << inMessage << "; see corneltally " << mCommand
+              << " --help\n";
+    return cExitUsage;
+}
+
+} // namespace corneltally::apps
--- /dev/null
+++ b/apps/command_line.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include <iosfwd>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace corneltally::apps {
+
+/// Exit codes of all subcommands.
+constexpr int cExitDone = 0;
+constexpr int cExitFailed = 1;
+constexpr int cExitUsage = 2;
+
+/// Options of one subcommand. Keeps Boost.Program_options, which is slow to compile, out of the
+/// other sources.
+class command_line
+{
+public:
+    command_line(std::string inCommand, std::string inSummary);
+
+    /// Adds an option that takes the given number of words each time that it appears.
+    void add(std::string inName, std::string inWords, std::string inDescription,
+             std::size_t inWordCount = 1);
+
+    /// Parses the words after the subcommand. Returns false if the command must end with
+    /// exitCode(): help was asked for, or the usage is wrong, which was reported with the remedy.
+    bool parse(const std::vector<std::string> &inArguments, std::ostream &outText,
+               std::ostream &outErrors);
+
+    int exitCode() const { return mExitCode; }
+
+    /// Words of an option in the order given; empty if it is absent.
+    const std::vector<std::string> &values(const std::string &inName) const;
+
+    /// The last word of an option.
+    std::string value(const std::string &inName, std::string_view inDefault = "") const;
+
+    bool has(const std::string &inName) const { return mValues.contains(inName); }
+
+    /// Reports wrong usage and returns the exit code for it.
+    int fail(std::string_view inMessage, std::ostream &outErrors) const;
+
+private:
+    struct option
+    {
+        std::string name;
+        std::string words;
+        std::string description;
+        std::size_t wordCount = 1;
+    };
+
+    std::string mCommand;
+    std::string mSummary;
+    std::vector<option> mOptions;
+    std::map<std::string, std::vector<std::string>> mValues;
+    int mExitCode = cExitDone;
+};
+
+} // namespace corneltally::apps
--- /dev/null
+++ b/apps/entry_command.cpp
@@ -0,0 +1,49 @@
+#include "apps/command_line.h"
+#include "apps/commands.h"
+#include "apps/files.h"
+#include "corneltally/settings/process_settings.h"
+
+#include <ostream>
+
+#if __has_include("corneltally/entry/daemon.h")
+#include "corneltally/entry/daemon.h"
+#endif
+
+namespace corneltally::apps {
+
+namespace {
+
+int startDaemon(const settings::process_settings &inSettings, std::ostream &outErrors)
+{
+#if __has_include("corneltally/entry/daemon.h")
+    (void)outErrors;
+    return entry::runEntry(inSettings);
+#else
+    outErrors << "corneltally entry: " << inSettings.instanceName
+              << " cannot start: this build has no daemon; build it with the daemon's sources\n";
+    return cExitFailed;
+#endif
+}
+
+} // namespace
+
+int runEntryCommand(const std::vector<std::string> &inArguments, command_output inOutput)
+{
+    command_line line("entry", "Runs an entry instance until it is drained by SIGTERM.");
+    line.add("settings", "FILE", "process settings (TOML)");
+    if (!line.parse(inArguments, inOutput.text, inOutput.errors))
+        return line.exitCode();
+    if (!line.has("settings"))
+        return line.fail("--settings FILE is required", inOutput.errors);
+    std::vector<settings::problem> problems;
+    const std::string path = line.value("settings");
+    if (const auto text = readFile(path, problems)) {
+        const auto settings = settings::process_settings::sFromToml(*text, path, &problems);
+        if (settings)
+            return startDaemon(*settings, inOutput.errors);
+    }
+    printProblems(problems, inOutput.errors);
+    return cExitUsage;
+}
+
+} // namespace corneltally::apps
--- /dev/null
+++ b/corneltally/entry/settings_publisher.h
@@ -0,0 +1,245 @@
+#pragma once
+
+#include "corneltally/core/error.h"
+#include "corneltally/kernel/timer.h"
+#include "corneltally/platform/log_client.h"
+#include "corneltally/platform/log_service.h"
+#include "corneltally/settings/change.h"
+#include "corneltally/settings/settings_replica.h"
+
+#include <chrono>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+
+namespace corneltally::entry {
+
+/// How publishing a change ended.
+enum class publish_outcome : std::uint8_t {
+    accepted,
+    rejected,
+    /// Certain: the change is not on the log.
+    not_published,
+    /// The change may be on the log, or its verdict could not be read.
+    unknown,
+};
+
+struct publish_result
+{
+    publish_outcome outcome = publish_outcome::unknown;
+    /// Offset of the record, if it is known.
+    std::uint64_t offset = 0;
+    core::error reason;
+};
+
+/// Publishes changes for an operator: follows the log from its start, appends a change and reports
+/// the verdict that every reader reaches. A lost answer is resolved by looking the change id up on
+/// the log before the record is sent again.
+template <platform::log_service Log>
+class settings_publisher
+{
+public:
+    /// Gives up after the time limit for loading and for each change.
+    settings_publisher(kernel::event_loop &inLoop, Log &inLog, core::duration inTimeLimit);
+
+    /// Reads the log to its end. The handler gets the reason if that failed.
+    void load(std::function<void(const std::optional<core::error> &)> inHandler);
+
+    /// Publishes one change that has an id and a base; load() has to have succeeded.
+    void publish(const settings::change &inChange,
+                 std::function<void(const publish_result &)> inHandler);
+
+    const settings::settings_replica &replica() const { return mReplica; }
+
+    /// Verdict on a change that is on the log.
+    std::optional<publish_result> findVerdict(const std::string &inId) const;
+
+private:
+    void readOn();
+    void receivePage(const platform::read_result &inResult);
+    void append();
+    void receiveAppend(const platform::append_result &inResult);
+    void decide();
+    void finish(const publish_result &inResult);
+    void later(std::function<void()> inStep);
+    bool isLate() const { return core::boot_clock::now() >= mDeadline; }
+
+    Log &mLog;
+    core::duration mTimeLimit;
+    settings::settings_replica mReplica;
+    std::map<std::string, publish_result> mVerdicts;
+    std::uint64_t mReadFrom = 0;
+    /// Whether the last page reached the end of the log.
+    bool mAtEnd = false;
+    core::error mLastFailure;
+    std::function<void(const std::optional<core::error> &)> mLoaded;
+    std::function<void(const publish_result &)> mPublished;
+    std::string mId;
+    std::string mRecord;
+    bool mMayBeOnLog = false;
+    std::optional<std::uint64_t> mAppendedAt;
+    core::time_point mDeadline;
+    std::function<void()> mNextStep;
+    kernel::timer mDelay;
+};
+
+extern template class settings_publisher<platform::log_client>;
+
+template <platform::log_service Log>
+settings_publisher<Log>::settings_publisher(kernel::event_loop &inLoop, Log &inLog,
+                                            core::duration inTimeLimit)
+    : mLog(inLog)
+    , mTimeLimit(inTimeLimit)
+    , mDelay(inLoop, [this] { std::exchange(mNextStep, nullptr)(); })
+{ }
+
+template <platform::log_service Log>
+void settings_publisher<Log>::load(
+    std::function<void(const std::optional<core::error> &)> inHandler)
+{
+    mLoaded = std::move(inHandler);
+    mDeadline = core::boot_clock::now() + mTimeLimit;
+    readOn();
+}
+
+template <platform::log_service Log>
+void settings_publisher<Log>::publish(const settings::change &inChange,
+                                      std::function<void(const publish_result &)> inHandler)
+{
+    mPublished = std::move(inHandler);
+    mDeadline = core::boot_clock::now() + mTimeLimit;
+    mId = inChange.id;
+    mRecord = inChange.toJson();
+    mMayBeOnLog = false;
+    mAppendedAt.reset();
+    if (const auto verdict = findVerdict(mId))
+        later([this, result = *verdict] { finish(result); });
+    else
+        append();
+}
+
+template <platform::log_service Log>
+std::optional<publish_result> settings_publisher<Log>::findVerdict(const std::string &inId) const
+{
+    const auto found = mVerdicts.find(inId);
+    return found == mVerdicts.end() ? std::nullopt : std::optional(found->second);
+}
+
+template <platform::log_service Log>
+void settings_publisher<Log>::append()
+{
+    mLog.append("settings", mRecord,
+                [this](const platform::append_result &inResult) { receiveAppend(inResult); });
+}
+
+template <platform::log_service Log>
+void settings_publisher<Log>::receiveAppend(const platform::append_result &inResult)
+{
+    if (inResult.outcome == platform::append_outcome::appended)
+        mAppendedAt = inResult.offset;
+    else
+        mLastFailure = inResult.reason;
+    if (inResult.outcome != platform::append_outcome::refused)
+        mMayBeOnLog = true;
+    else if (!mMayBeOnLog) {
+        if (isLate())
+            finish({publish_outcome::not_published, 0, mLastFailure});
+        else
+            later([this] { append(); });
+        return;
+    }
+    readOn();
+}
+
+template <platform::log_service Log>
+void settings_publisher<Log>::readOn()
+{
+    mLog.read({.stream = "settings", .from = mReadFrom},
+              [this](const platform::read_result &inResult) { receivePage(inResult); });
+}
+
+template <platform::log_service Log>
+void settings_publisher<Log>::receivePage(const platform::read_result &inResult)
+{
+    if (inResult.outcome == platform::read_outcome::failed
+        || (inResult.outcome == platform::read_outcome::expired && inResult.first <= mReadFrom)) {
+        mLastFailure = inResult.reason;
+        mAtEnd = false;
+        if (isLate())
+            decide();
+        else
+            later([this] { readOn(); });
+        return;
+    }
+    mReplica.noteLogStart(inResult.first, 0);
+    if (inResult.outcome == platform::read_outcome::expired) {
+        mReadFrom = inResult.first;
+        readOn();
+        return;
+    }
+    for (const platform::log_record &record : inResult.records) {
+        mReadFrom = record.offset + 1;
+        for (const auto &verdict : mReplica.addLogRecord(record.offset, record.data, 0)) {
+            const bool isAccepted = verdict.outcome == settings::record_outcome::accepted;
+            // The first record with an id decides; further copies of it are rejected.
+            if (!verdict.changeId.empty())
+                mVerdicts.emplace(verdict.changeId,
+                                  publish_result{isAccepted ? publish_outcome::accepted
+                                                            : publish_outcome::rejected,
+                                                 verdict.offset, verdict.reason});
+        }
+    }
+    mAtEnd = mReadFrom >= inResult.next || inResult.records.empty();
+    if (mAtEnd)
+        decide();
+    else
+        readOn();
+}
+
+template <platform::log_service Log>
+void settings_publisher<Log>::decide()
+{
+    if (mLoaded) {
+        std::optional<core::error> reason;
+        if (!mAtEnd)
+            reason = mLastFailure;
+        else if (mReplica.hasGap())
+            reason
+                = core::error{core::error_kind::unavailable,
+                              "the log does not reach back to the start and has no snapshot",
+                              "start an entry instance that knows the tree; it writes a snapshot"};
+        std::exchange(mLoaded, nullptr)(reason);
+        return;
+    }
+    if (const auto verdict = findVerdict(mId)) {
+        finish(*verdict);
+    } else if (isLate()) {
+        finish({publish_outcome::unknown, mAppendedAt.value_or(0), mLastFailure});
+    } else if (mAppendedAt) {
+        later([this] { readOn(); });
+    } else {
+        // The end of the log was read after the append ended, and the change is not there. A copy
+        // that arrives even later is rejected by its id and its base.
+        later([this] { append(); });
+    }
+}
+
+template <platform::log_service Log>
+void settings_publisher<Log>::finish(const publish_result &inResult)
+{
+    if (mPublished)
+        std::exchange(mPublished, nullptr)(inResult);
+}
+
+template <platform::log_service Log>
+void settings_publisher<Log>::later(std::function<void()> inStep)
+{
+    // Spreads the calls of an operator's command over an outage of the log.
+    constexpr core::duration cDelay = std::chrono::milliseconds(200);
+    mNextStep = std::move(inStep);
+    mDelay.startOnce(cDelay);
+}
+
+} // namespace corneltally::entry
--- a/corneltally/settings/change.h
+++ b/corneltally/settings/change.h
@@ -17,7 +17,7 @@
 struct change
 {
     /// Sets one key of a node; without a value the key is removed, so that the inherited value
-    /// applies again.
+    /// applies again. A node that does not exist is created in both cases.
     struct assignment
     {
         std::string path;
--- a/corneltally/settings/settings_tree.cpp
+++ b/corneltally/settings/settings_tree.cpp
@@ -137,9 +137,6 @@
                            "use a path that SETTINGS.md lists");
         if (!assigned.emplace(entry.path, entry.key).second)
             return invalid(entry.path + " " + entry.key + " is set twice", "set it once");
-        if (!entry.value && !contains(entry.path))
-            return invalid(entry.path + " has no key " + entry.key + " to remove",
-                           "take the assignment out of the change");
     }
     for (const std::string &path : inChange.remove) {
         if (path == "/" || subtree(path).empty())
--- a/corneltally/settings/settings_tree_toml.cpp
+++ b/corneltally/settings/settings_tree_toml.cpp
@@ -10,14 +10,6 @@
 
 namespace {
 
-std::string pathOf(const std::vector<std::string> &inTables)
-{
-    std::string path;
-    for (const std::string &name : inTables)
-        path += "/" + name;
-    return path.empty() ? "/" : path;
-}
-
 /// Lines of nodes and their keys, for problems that are found later.
 using line_map = std::map<std::pair<std::string, std::string>, int>;
 
@@ -50,7 +42,7 @@
         std::vector<std::string> names = entry.table;
         if (entry.isTable)
             names.push_back(entry.key);
-        const std::string path = pathOf(names);
+        const std::string path = nodePath(names);
         const node_kind kind = kindOf(path);
         // Of nested unknown tables only the outermost is reported.
         if (kind == node_kind::unknown && kindOf(parentPath(path)) == node_kind::unknown)
--- a/corneltally/settings/toml_document.cpp
+++ b/corneltally/settings/toml_document.cpp
@@ -64,4 +64,12 @@
     return document;
 }
 
+std::string nodePath(const std::vector<std::string> &inTables)
+{
+    std::string path;
+    for (const std::string &name : inTables)
+        path.append("/").append(name);
+    return path.empty() ? "/" : path;
+}
+
 } // namespace corneltally::settings
--- a/corneltally/settings/toml_document.h
+++ b/corneltally/settings/toml_document.h
@@ -38,4 +38,7 @@
     std::vector<entry> mEntries;
 };
 
+/// Path of the node that nested tables stand for; "/" without tables.
+std::string nodePath(const std::vector<std::string> &inTables);
+
 } // namespace corneltally::settings
