Add the ownership rules: owner choice, fencing numbers, takeover and leases

Cause: the owner service needs decisions about who owns an endpoint, which adapters may be in use after a takeover, and when a lease is certainly held, without sockets or clocks of their own.

Change: ownership/owner_choice, fence, takeover, lease_record, lease_table and lease. A report ends a quarantine only if it describes a moment after the fencing number was registered; a lease is compared and set by log offset, and readers that start at any offset reach the same verdict.

--- /dev/null
+++ b/corneltally/ownership/lease.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "corneltally/core/boot_clock.h"
+#include "corneltally/ownership/lease_record.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+
+namespace corneltally::ownership {
+
+class lease_table;
+
+/// This instance's lease of one endpoint that does not check fencing numbers: decides when to
+/// append a record, and knows whether the lease is held at a given moment.
+class lease
+{
+public:
+    lease(std::string inEndpoint, std::string inInstance, std::uint64_t inIncarnation,
+          core::duration inLength);
+
+    /// Record to append now, if any: a first one once the lease of another instance has expired, or
+    /// a renewal after half of the duration. Call observe() before. The caller appends it at once;
+    /// the duration counts from inNow, before the append.
+    std::optional<lease_record> propose(const lease_table &inTable, core::time_point inNow);
+
+    /// The append failed or its answer was lost; the record may or may not be on the log.
+    void appendFailed(core::time_point inNow);
+
+    /// Looks at the table after records were read.
+    void observe(const lease_table &inTable, core::time_point inNow);
+
+    /// Gives the lease up until propose() is called again and its record is read.
+    void drop();
+
+    /// Whether the lease is certainly held; to be asked immediately before each command.
+    bool isHeld(core::time_point inNow) const { return mHeldUntil && inNow < *mHeldUntil; }
+
+    /// Offset of the own current record; 0 without one.
+    std::uint64_t offset() const { return mOffset; }
+
+private:
+    std::string mEndpoint;
+    std::string mInstance;
+    std::uint64_t mIncarnation;
+    core::duration mLength;
+    std::uint64_t mNextSequence = 1;
+    /// When each append whose record was not read yet was started.
+    std::map<std::uint64_t, core::time_point> mStarted;
+    std::optional<std::uint64_t> mPending;
+    core::time_point mNotBefore;
+    std::optional<core::time_point> mHeldUntil;
+    std::uint64_t mOffset = 0;
+};
+
+} // namespace corneltally::ownership
--- /dev/null
+++ b/corneltally/ownership/owner_choice.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+
+namespace corneltally::ownership {
+
+/// A live instance that is not draining.
+struct owner_candidate
+{
+    std::string name;
+    std::string failureDomain;
+};
+
+/// The instance that should own an endpoint: the one with the highest rendezvous weight in the
+/// endpoint's failure domain or, if there is none, of all. Instances with the same view of who is
+/// live choose the same owner; with different views, fencing numbers or leases decide.
+std::optional<std::string> chooseOwner(std::string_view inEndpoint,
+                                       std::string_view inFailureDomain,
+                                       std::span<const owner_candidate> inCandidates);
+
+} // namespace corneltally::ownership
--- /dev/null
+++ b/corneltally/ownership/takeover.cpp
@@ -0,0 +1,96 @@
+#include "corneltally/ownership/takeover.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace corneltally::ownership {
+
+namespace {
+
+/// Bytes of an interrupted request may still be on their way when its connection is given up.
+constexpr core::duration cInterruptionMargin = std::chrono::seconds(1);
+
+} // namespace
+
+void takeover::acquire()
+{
+    mPhase = phase::acquiring;
+}
+
+void takeover::acquired(std::uint64_t inFence, core::time_point inNow)
+{
+    assert(inFence > mFence || mPhase == phase::acquiring);
+    mPhase = phase::owning;
+    mFence = inFence;
+    mQuarantineEnd = inNow;
+    mKnownIdle.clear();
+}
+
+void takeover::acquiredUnfenced(core::time_point inNow, core::time_point inQuarantineEnd)
+{
+    acquired(0, std::max(inNow, inQuarantineEnd));
+}
+
+void takeover::release()
+{
+    if (mPhase == phase::owning || mPhase == phase::acquiring)
+        mPhase = phase::releasing;
+}
+
+void takeover::lost()
+{
+    mPhase = phase::not_owner;
+    mKnownIdle.clear();
+}
+
+void takeover::loaded(std::string_view inAdapter)
+{
+    mKnownIdle.emplace(inAdapter);
+    const auto found = mInterrupted.find(inAdapter);
+    if (found != mInterrupted.end())
+        mInterrupted.erase(found);
+}
+
+void takeover::interrupted(std::string_view inAdapter, core::time_point inNow)
+{
+    mInterrupted.insert_or_assign(std::string(inAdapter), inNow + cInterruptionMargin);
+}
+
+void takeover::reported(std::span<const adapter_use> inAdapters, core::time_point inDescribed)
+{
+    for (const adapter_use &use : inAdapters) {
+        if (use.running > 0)
+            continue;
+        if (inDescribed > mQuarantineEnd)
+            mKnownIdle.insert(use.adapter);
+        const auto found = mInterrupted.find(use.adapter);
+        if (found != mInterrupted.end() && inDescribed > found->second)
+            mInterrupted.erase(found);
+    }
+    // An adapter that is no longer resident is quarantined again if another instance loads it.
+    std::erase_if(mKnownIdle, [&](const std::string &inName) {
+        return std::ranges::find(inAdapters, inName, &adapter_use::adapter) == inAdapters.end();
+    });
+}
+
+bool takeover::isQuarantined(std::string_view inAdapter) const
+{
+    return !mKnownIdle.contains(inAdapter) || mInterrupted.contains(inAdapter);
+}
+
+std::string_view toString(takeover::phase inPhase)
+{
+    switch (inPhase) {
+    case takeover::phase::not_owner:
+        return "not_owner";
+    case takeover::phase::acquiring:
+        return "acquiring";
+    case takeover::phase::owning:
+        return "owning";
+    case takeover::phase::releasing:
+        break;
+    }
+    return "releasing";
+}
+
+} // namespace corneltally::ownership
