Require a new fencing number after a run whose start may still be on its way

Cause: the model check showed that a report alone does not prove an adapter idle after a run with unknown outcome, since the command may arrive after the report.

Change: ownership/takeover keeps such an adapter in use until a new fencing number is registered; slot_decision names the adapter that needs the slot.

--- a/corneltally/ownership/takeover.cpp
+++ b/corneltally/ownership/takeover.cpp
@@ -5,13 +5,6 @@
 
 namespace corneltally::ownership {
 
-namespace {
-
-/// Bytes of an interrupted request may still be on their way when its connection is given up.
-constexpr core::duration cInterruptionMargin = std::chrono::seconds(1);
-
-} // namespace
-
 void takeover::acquire()
 {
     mPhase = phase::acquiring;
@@ -24,11 +17,16 @@
     mFence = inFence;
     mQuarantineEnd = inNow;
     mKnownIdle.clear();
+    // Runs that were on their way are refused from now on; the others are in later reports.
+    mInterrupted.clear();
 }
 
 void takeover::acquiredUnfenced(core::time_point inNow, core::time_point inQuarantineEnd)
 {
+    const std::map<std::string, core::time_point, std::less<>> interrupted = mInterrupted;
     acquired(0, std::max(inNow, inQuarantineEnd));
+    // Nothing refuses runs that are on their way.
+    mInterrupted = interrupted;
 }
 
 void takeover::release()
@@ -43,17 +41,15 @@
     mKnownIdle.clear();
 }
 
-void takeover::loaded(std::string_view inAdapter)
+void takeover::interrupted(std::string_view inAdapter, core::time_point inUntil)
 {
-    mKnownIdle.emplace(inAdapter);
-    const auto found = mInterrupted.find(inAdapter);
-    if (found != mInterrupted.end())
-        mInterrupted.erase(found);
+    core::time_point &until = mInterrupted.try_emplace(std::string(inAdapter)).first->second;
+    until = std::max(until, inUntil);
 }
 
-void takeover::interrupted(std::string_view inAdapter, core::time_point inNow)
+void takeover::interruptedOnTheWay(std::string_view inAdapter)
 {
-    mInterrupted.insert_or_assign(std::string(inAdapter), inNow + cInterruptionMargin);
+    interrupted(inAdapter, core::time_point::max());
 }
 
 void takeover::reported(std::span<const adapter_use> inAdapters, core::time_point inDescribed)
--- a/corneltally/ownership/takeover.h
+++ b/corneltally/ownership/takeover.h
@@ -5,7 +5,6 @@
 
 #include <cstdint>
 #include <map>
-#include <optional>
 #include <set>
 #include <span>
 #include <string>
@@ -41,11 +40,11 @@
 
     void lost();
 
-    /// The instance loaded the adapter itself, so that no earlier run uses it.
-    void loaded(std::string_view inAdapter);
-
-    /// A run ended without certainty that it has ended at the endpoint.
-    void interrupted(std::string_view inAdapter, core::time_point inNow);
+    /// A run ended without certainty that it has ended at the endpoint. Reports of moments after
+    /// inUntil show whether it has; if the run may still be on its way to the endpoint, no report
+    /// does, and the adapter stays in use until a new fencing number is registered.
+    void interrupted(std::string_view inAdapter, core::time_point inUntil);
+    void interruptedOnTheWay(std::string_view inAdapter);
 
     /// A report that describes the moment inDescribed. An adapter without runs in it leaves the
     /// quarantine if that moment is late enough.
--- a/corneltally/scheduling/adapter_slots.cpp
+++ b/corneltally/scheduling/adapter_slots.cpp
@@ -154,7 +154,7 @@
         return {};
     }
     if (mResident.size() < static_cast<std::size_t>(mSettings.slots))
-        return {slot_decision::action::load, wanted->adapter};
+        return {slot_decision::action::load, wanted->adapter, wanted->adapter};
     const bool mayRetire = inNow - wanted->oldest >= mSettings.retireAfter;
     const std::string *victim = nullptr;
     double least = 0;
@@ -177,7 +177,7 @@
         }
     }
     if (victim != nullptr)
-        return {slot_decision::action::unload, *victim};
+        return {slot_decision::action::unload, *victim, wanted->adapter};
     if (mayRetire)
         retireOne(inDemand, *wanted, inNow);
     return {};
--- a/corneltally/scheduling/adapter_slots.h
+++ b/corneltally/scheduling/adapter_slots.h
@@ -36,6 +36,8 @@
     enum class action { none, load, unload };
     action kind = action::none;
     std::string adapter;
+    /// The adapter that needs the slot: the one to load now or after the unload.
+    std::string wanted;
 
     friend auto operator<=>(const slot_decision &, const slot_decision &) = default;
 };
