Let process settings replace endpoint addresses

Cutting a failure domain in a test needs one proxy link per instance and endpoint, but the tree holds one address per endpoint for all instances. The table [endpoint_addresses] replaces addresses of the tree by endpoint name, as [peer_addresses] does for instances; the catalog applies it, so that owner and dispatch see the replaced address without further changes.

--- a/corneltally/entry/settings_sync_options.h
+++ b/corneltally/entry/settings_sync_options.h
@@ -2,6 +2,8 @@
 
 #include "corneltally/core/boot_clock.h"
 
+#include <functional>
+#include <map>
 #include <string>
 
 namespace corneltally::entry {
@@ -11,6 +13,8 @@
 {
     /// Name of this instance.
     std::string instance;
+    /// Replaces the addresses of the settings tree, by endpoint name.
+    std::map<std::string, std::string, std::less<>> endpointAddresses;
     /// How long a read waits at the log for a record. The tree is confirmed once per read.
     std::chrono::milliseconds logWait{1'000};
     /// First and longest delay before the log is tried again.
--- a/corneltally/entry/settings_sync_service.h
+++ b/corneltally/entry/settings_sync_service.h
@@ -340,7 +340,8 @@
         return;
     mPublished = tree.version();
     core::logEvent(core::log_level::info, "settings_in_force", {{"version", tree.version()}});
-    mRegistry.broadcast(catalog_changed{std::make_shared<const settings::catalog>(tree)});
+    mRegistry.broadcast(catalog_changed{
+        std::make_shared<const settings::catalog>(tree, mOptions.endpointAddresses)});
 }
 
 template <platform::log_service Log>
--- a/corneltally/settings/catalog.cpp
+++ b/corneltally/settings/catalog.cpp
@@ -119,7 +119,7 @@
 
 catalog::catalog() = default;
 
-catalog::catalog(const settings_tree &inTree)
+catalog::catalog(const settings_tree &inTree, const address_map &inEndpointAddresses)
     : mVersion(inTree.version())
 {
     constexpr std::string_view cAccounts = "/accounts/";
@@ -145,6 +145,10 @@
     }
     for (const std::string &name : inTree.children("/endpoints"))
         mEndpoints.emplace(name, readEndpoint({inTree, "/endpoints/" + name}));
+    for (const auto &[name, address] : inEndpointAddresses) {
+        if (const auto found = mEndpoints.find(name); found != mEndpoints.end())
+            found->second.address = address;
+    }
     for (const std::string &name : inTree.children("/instances")) {
         const node_reader node(inTree, "/instances/" + name);
         mInstances.emplace(
--- a/corneltally/settings/catalog.h
+++ b/corneltally/settings/catalog.h
@@ -25,7 +25,10 @@
 public:
     /// An empty catalog of version 0.
     catalog();
-    explicit catalog(const settings_tree &inTree);
+    /// Addresses by endpoint name, which replace those of the tree.
+    using address_map = std::map<std::string, std::string, std::less<>>;
+
+    explicit catalog(const settings_tree &inTree, const address_map &inEndpointAddresses = {});
 
     /// Offset of the last log record in the tree.
     std::uint64_t version() const { return mVersion; }
--- a/corneltally/settings/process_settings.cpp
+++ b/corneltally/settings/process_settings.cpp
@@ -13,6 +13,7 @@
 using table_key = process_settings::table_key;
 
 constexpr std::string_view cPeerTable = "peer_addresses";
+constexpr std::string_view cEndpointTable = "endpoint_addresses";
 
 struct file_check
 {
@@ -86,13 +87,16 @@
                        "give each its own address");
 }
 
-void readPeerAddress(file_check &ioCheck, const toml_document::entry &inEntry)
+void readNamedAddress(file_check &ioCheck, const toml_document::entry &inEntry)
 {
     static constexpr key_definition cDefinition{"", value_type::address, "", "", 0, 0, ""};
-    const std::string key = qualified(cPeerTable, inEntry.key);
-    if (!isName(inEntry.key))
-        ioCheck.report(inEntry.line, key, "not an instance name",
-                       "use the name of an instance of the settings tree");
+    const bool isPeer = inEntry.table.front() == cPeerTable;
+    const std::string key = qualified(inEntry.table.front(), inEntry.key);
+    if (!isName(inEntry.key)) {
+        const std::string kind = isPeer ? "instance" : "endpoint";
+        ioCheck.report(inEntry.line, key, "not an " + kind + " name",
+                       "use the name of an " + kind + " of the settings tree");
+    }
     const auto failure = inEntry.value
         ? checkValue(cDefinition, *inEntry.value)
         : value_problem{"wrong type", "write an address \"ip:port\""};
@@ -102,7 +106,8 @@
     }
     const auto &address = std::get<std::string>(*inEntry.value);
     checkAddress(ioCheck, key, address, inEntry.line);
-    ioCheck.settings.peerAddresses[inEntry.key] = address;
+    auto &target = isPeer ? ioCheck.settings.peerAddresses : ioCheck.settings.endpointAddresses;
+    target[inEntry.key] = address;
 }
 
 std::vector<std::string_view> tableNames()
@@ -113,6 +118,7 @@
             names.push_back(entry.table);
     }
     names.push_back(cPeerTable);
+    names.push_back(cEndpointTable);
     return names;
 }
 
@@ -159,8 +165,8 @@
     if (inEntry.table.size() > 1)
         return; // The table itself was reported.
     const std::string &table = inEntry.table.front();
-    if (table == cPeerTable) {
-        readPeerAddress(ioCheck, inEntry);
+    if (table == cPeerTable || table == cEndpointTable) {
+        readNamedAddress(ioCheck, inEntry);
         return;
     }
     std::vector<std::string_view> known;
--- a/corneltally/settings/process_settings.h
+++ b/corneltally/settings/process_settings.h
@@ -42,6 +42,8 @@
     std::string platformAddress;
     /// Replaces peer_address of the settings tree, by instance name.
     std::map<std::string, std::string, std::less<>> peerAddresses;
+    /// Replaces the address of endpoints of the settings tree, by endpoint name.
+    std::map<std::string, std::string, std::less<>> endpointAddresses;
     process_limits limits;
 
     /// Checks a file as a whole. On failure the reason lists every problem, a line for each;
@@ -58,8 +60,8 @@
         key_definition definition;
     };
 
-    /// All keys of the file, for the reference page. `[peer_addresses]` is not listed, since its
-    /// keys are instance names.
+    /// All keys of the file, for the reference page. `[peer_addresses]` and
+    /// `[endpoint_addresses]` are not listed, since their keys are names of the settings tree.
     static const std::vector<table_key> &sKeys();
 
     friend auto operator<=>(const process_settings &, const process_settings &) = default;
--- a/tests/unit/settings_process_settings_test.cpp
+++ b/tests/unit/settings_process_settings_test.cpp
@@ -24,6 +24,8 @@
 address = "127.0.0.1:7000"
 [peer_addresses]
 entry-2 = "127.0.0.1:7102"
+[endpoint_addresses]
+engine-1 = "127.0.0.1:7201"
 [limits]
 max_connections = 20
 )";
@@ -54,6 +56,7 @@
     CHECK(result->callers == "127.0.0.1:0");
     CHECK(result->platformAddress == "127.0.0.1:7000");
     CHECK(result->peerAddresses.at("entry-2") == "127.0.0.1:7102");
+    CHECK(result->endpointAddresses.at("engine-1") == "127.0.0.1:7201");
     CHECK(result->limits.maxConnections == 20);
     CHECK(result->limits.maxBodyBytes == 1024 * 1024);
 }
--- a/tests/unit/settings_tree_test.cpp
+++ b/tests/unit/settings_tree_test.cpp
@@ -367,3 +367,15 @@
           "{\"set\":[{\"path\":\"/\",\"key\":\"k\",\"value\":{}}]}"})
         CHECK_FALSE(change::sFromJson(text).hasValue());
 }
+
+TEST_CASE("an endpoint address of the process settings replaces that of the tree")
+{
+    const settings_tree tree = readTree(cTree);
+    const settings::catalog plain(tree);
+    const settings::catalog replaced(
+        tree, {{"engine-1", "127.0.0.1:9901"}, {"engine-9", "127.0.0.1:9909"}});
+    CHECK(plain.findEndpoint("engine-1")->address == "127.0.0.1:9001");
+    CHECK(replaced.findEndpoint("engine-1")->address == "127.0.0.1:9901");
+    CHECK(replaced.findEndpoint("orders-1")->address == "127.0.0.1:9002");
+    CHECK(replaced.findEndpoint("engine-9") == nullptr);
+}
