--- a/corneltally/entry/metrics.cpp
+++ b/corneltally/entry/metrics.cpp
@@ -1,8 +1,9 @@
 #include "corneltally/entry/metrics.h"
 
 #include <array>
+#include <cmath>
 #include <cstdio>
-#include <vector>
+#include <limits>
 
 #include <boost/accumulators/accumulators.hpp>
 #include <boost/accumulators/statistics/count.hpp>
@@ -36,6 +37,9 @@
     return inName.substr(0, inName.find('{'));
 }
 
+/// The estimate of the quantiles starts once its 2n + 3 markers have a value each.
+constexpr std::size_t cMinSamples = 2 * cQuantiles.size() + 3;
+
 /// Writes the type line of a metric once for all of its labels.
 void appendType(std::string &ioText, std::string &ioLast, std::string_view inName,
                 std::string_view inType)
@@ -95,10 +99,12 @@
         const std::string full = std::string(cPrefix) + name;
         appendType(text, last, name, "summary");
         for (const double quantile : cQuantiles) {
-            const double value = accumulators::quantile(
-                entry->values, accumulators::quantile_probability = quantile);
+            const double value = accumulators::count(entry->values) < cMinSamples
+                ? std::numeric_limits<double>::quiet_NaN()
+                : accumulators::quantile(entry->values,
+                                         accumulators::quantile_probability = quantile);
             text.append(full).append("{quantile=\"").append(number(quantile)).append("\"} ");
-            text.append(number(value)).append("\n");
+            text.append(std::isnan(value) ? "NaN" : number(value)).append("\n");
         }
         text.append(full).append("_sum ").append(number(accumulators::sum(entry->values)));
         text.append("\n").append(full).append("_count ");
