Add token buckets, fleet shares with loans and the limiter of one account

Cause: the fleet must not spend more than rate x window + burst of an account in any window, without a central counter, and should refuse few requests that are within the rate.

Change: limits/token_bucket, fleet_share (base share 1/n, loans of rate, burst and content, empty and inactive for 2 s after a start or a pause, growth after 7 s), token_accounting (a refund never exceeds what the bucket would still hold without the charge), shared_limiter (requests wait in order up to 250 ms and borrow from one peer after the other), demand_meter and retry_budget.

--- /dev/null
+++ b/corneltally/limits/shared_limiter.h
@@ -0,0 +1,143 @@
+#pragma once
+
+#include "corneltally/core/boot_clock.h"
+#include "corneltally/limits/demand_meter.h"
+#include "corneltally/limits/fleet_share.h"
+
+#include <chrono>
+#include <compare>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace corneltally::limits {
+
+/// How a request for tokens was decided.
+enum class limiter_outcome : std::uint8_t {
+    admitted,
+    /// Neither refill nor loans were enough in time.
+    refused,
+    /// More than the burst of the account; waiting does not help.
+    too_large,
+};
+
+/// Decides requests for tokens of one fleet-wide limit: charges the share of this instance, lets
+/// requests wait in order of arrival, and borrows from peers while they wait.
+class shared_limiter
+{
+public:
+    /// Longest wait for refill or a loan.
+    static constexpr core::duration cMaxWait = std::chrono::milliseconds(250);
+    /// After this time without an answer the next peer is asked; a few round trips between domains.
+    static constexpr core::duration cAskTimeout = std::chrono::milliseconds(20);
+    /// Pause after all peers were asked once.
+    static constexpr core::duration cRoundPause = std::chrono::milliseconds(40);
+    /// Bounds memory and work per account; further requests are refused at once.
+    static constexpr std::size_t cMaxWaiting = 4096;
+    /// Charges that were never settled are forgotten after this time, longer than any request.
+    static constexpr core::duration cMaxOpen = std::chrono::hours(1);
+
+    struct decision
+    {
+        std::string requestId;
+        limiter_outcome outcome = limiter_outcome::refused;
+        /// When a refused request can expect tokens.
+        core::duration retryAfter{};
+
+        friend auto operator<=>(const decision &, const decision &) = default;
+    };
+
+    /// A loan to ask a peer for.
+    struct loan_ask
+    {
+        std::string lender;
+        std::uint64_t loanId = 0;
+        double rate = 0;
+        double tokens = 0;
+
+        friend auto operator<=>(const loan_ask &, const loan_ask &) = default;
+    };
+
+    struct actions
+    {
+        std::vector<decision> decisions;
+        std::optional<loan_ask> ask;
+        /// When to poll again if nothing else happens.
+        std::optional<core::time_point> wakeAt;
+    };
+
+    /// Loan ids count up from inFirstLoanId; it must differ between starts of an instance, so that
+    /// a late answer to an earlier process is not taken for an answer to this one.
+    shared_limiter(double inRate, double inBurst, double inFraction, core::time_point inStart,
+                   std::uint64_t inFirstLoanId);
+
+    void setLimits(double inRate, double inBurst, core::time_point inNow);
+    void setFraction(double inFraction, core::time_point inNow);
+    /// Live peers, without this instance.
+    void setPeers(std::vector<std::string> inPeers);
+
+    void submit(std::string inRequestId, double inTokens, core::time_point inDeadline,
+                core::time_point inNow);
+    /// Removes a waiting request, which then gets no decision, or gives back the whole charge of an
+    /// admitted one. Returns whether the request was waiting.
+    bool cancel(std::string_view inRequestId, core::time_point inNow);
+    /// Gives back what an admitted request did not use.
+    void settle(std::string_view inRequestId, double inUsed, core::time_point inNow);
+
+    /// Answer to a peer's request; an empty loan if there is nothing to lend.
+    fleet_share::loan lend(std::string_view inBorrower, std::uint64_t inLoanId, double inRate,
+                           double inTokens, core::time_point inNow);
+    void loanReceived(std::string_view inLender, std::uint64_t inLoanId,
+                      const fleet_share::loan &inLoan, core::time_point inNow);
+
+    void paused(core::time_point inNow);
+
+    /// Decides what can be decided now.
+    actions poll(core::time_point inNow);
+
+    std::size_t waiting() const { return mWaiting.size(); }
+    fleet_share &share() { return mShare; }
+    double demand(core::time_point inNow) const { return mDemand.rate(inNow); }
+
+private:
+    struct waiting_request
+    {
+        std::string id;
+        double tokens = 0;
+        core::time_point giveUpAt;
+    };
+    struct open_charge
+    {
+        token_accounting::charge_id charge = 0;
+        double tokens = 0;
+        core::time_point openedAt;
+    };
+
+    core::duration retryAfter(double inTokens, core::time_point inNow);
+    void decide(core::time_point inNow, actions &ioActions);
+    void seekLoan(core::time_point inNow, actions &ioActions);
+    void settleOpen(std::map<std::string, open_charge, std::less<>>::iterator inOpen, double inUsed,
+                    core::time_point inNow);
+    void forgetOldCharges(core::time_point inNow);
+
+    fleet_share mShare;
+    demand_meter mDemand;
+    std::deque<waiting_request> mWaiting;
+    double mWaitingTokens = 0;
+    std::vector<decision> mDecided;
+    std::map<std::string, open_charge, std::less<>> mOpen;
+    core::time_point mNextForget;
+
+    std::vector<std::string> mPeers;
+    std::size_t mNextPeer = 0;
+    std::size_t mAskedInRound = 0;
+    std::uint64_t mNextLoanId;
+    std::optional<std::uint64_t> mAsked;
+    core::time_point mNextAskAt;
+};
+
+} // namespace corneltally::limits
--- /dev/null
+++ b/corneltally/limits/token_accounting.cpp
@@ -0,0 +1,49 @@
+#include "corneltally/limits/token_accounting.h"
+
+#include <algorithm>
+#include <iterator>
+#include <limits>
+
+namespace corneltally::limits {
+
+token_accounting::charge_id token_accounting::open(double inAmount)
+{
+    const charge_id id = mNext++;
+    mCharges.emplace_hint(
+        mCharges.end(), id,
+        charge{.amount = inAmount, .leastRoom = std::numeric_limits<double>::infinity()});
+    return id;
+}
+
+void token_accounting::observeRoom(double inRoom)
+{
+    const double room = std::max(0.0, inRoom);
+    for (auto item = mCharges.rbegin(); item != mCharges.rend(); ++item) {
+        if (item->second.leastRoom <= room)
+            break;
+        item->second.leastRoom = room;
+    }
+}
+
+double token_accounting::close(charge_id inCharge, double inUnused)
+{
+    const auto found = mCharges.find(inCharge);
+    if (found == mCharges.end())
+        return 0;
+    const double unused = std::clamp(inUnused, 0.0, found->second.amount);
+    const double refund = std::min(unused, found->second.leastRoom);
+    // With the refund in the bucket from the start, the room since this charge would have been
+    // smaller by the refund; the charges still open must not count that room again.
+    for (auto item = std::next(found); item != mCharges.end(); ++item)
+        item->second.leastRoom -= refund;
+    const double room = found->second.leastRoom - refund;
+    for (auto item = std::make_reverse_iterator(found); item != mCharges.rend(); ++item) {
+        if (item->second.leastRoom <= room)
+            break;
+        item->second.leastRoom = room;
+    }
+    mCharges.erase(found);
+    return refund;
+}
+
+} // namespace corneltally::limits
