--- a/corneltally/settings/catalog.h
+++ b/corneltally/settings/catalog.h
@@ -25,7 +25,10 @@
 public:
     /// An empty catalog of version 0.
     catalog();
-    explicit catalog(const settings_tree &inTree);
+    /// Addresses by endpoint name, which replace those of the tree.
+    using address_map = std::map<std::string, std::string, std::less<>>;
+
+    explicit catalog(const settings_tree &inTree, const address_map &inEndpointAddresses = {});
 
     /// Offset of the last log record in the tree.
     std::uint64_t version() const { return mVersion; }
@@ -49,6 +52,8 @@
         return mInstances;
     }
     std::size_t adapterCount() const { return mAdapters.size(); }
+    /// All adapters by name, in no order.
+    const auto &adapters() const { return mAdapters; }
 
     /// Fleet-wide limits of the weight store, from the root of the tree.
     double weightLoadsPerSecond() const { return mWeightLoadsPerSecond; }
