Use the retry budget of limits

Cause: dispatch had an interim budget of its own. Change: limits::retry_budget and its delay with full jitter are used; runs that an owner returns because the ownership changed do not count, since a drain returns all waiting runs at once.

--- a/corneltally/entry/dispatch_rules.cpp
+++ b/corneltally/entry/dispatch_rules.cpp
@@ -1,6 +1,7 @@
 #include "corneltally/entry/dispatch_rules.h"
 
-#include <algorithm>
+#include "corneltally/limits/retry_budget.h"
+
 #include <tuple>
 
 namespace corneltally::entry {
@@ -24,12 +25,9 @@
 
 core::duration retryDelay(int inAttempts, std::uint64_t inRandom)
 {
-    core::duration bound = cFirstDelayBound;
-    for (int attempt = 1; attempt < inAttempts && bound < cLastDelayBound; ++attempt)
-        bound *= 2;
-    bound = std::min(bound, cLastDelayBound);
-    return core::duration(
-        static_cast<core::duration::rep>(inRandom % static_cast<std::uint64_t>(bound.count() + 1)));
+    // The 53 bits that a double holds give a number in [0, 1).
+    const double uniform = static_cast<double>(inRandom >> 11U) * 0x1p-53;
+    return limits::retryDelay(inAttempts - 1, cFirstDelayBound, cLastDelayBound, uniform);
 }
 
 std::optional<std::size_t> chooseService(std::span<const service_option> inOptions,
--- a/corneltally/entry/dispatch_service.cpp
+++ b/corneltally/entry/dispatch_service.cpp
@@ -23,9 +23,6 @@
 constexpr core::duration cEndpointPoll = 50ms;
 /// Owners that may refuse a run that has to be continued, before it is given up.
 constexpr int cMaxResumptions = 8;
-/// Retries are limited to this part of the requests, and to a burst for sudden failures.
-constexpr double cRetryShare = 0.1;
-constexpr double cRetryBurst = 50;
 constexpr core::duration cPrunePeriod = 5s;
 /// A call to a service that may be repeated gets this part of the remaining time, so that a
 /// connection that went silent leaves time for another attempt.
@@ -56,7 +53,7 @@
     , mServices(inRegistry.loop())
     , mSweep(inRegistry.loop(), [this] { sweep(); })
     , mRandom(std::random_device()())
-    , mRetryBudget(cRetryBurst)
+    , mRetryBudget(core::boot_clock::now())
 {
     mRegistry.handle<run_start>(name(),
                                 [this](const run_start &inStart) { startRun(inStart.request); });
@@ -95,8 +92,8 @@
 
 void dispatch_service::startRun(const run &inRun)
 {
-    mRetryBudget = std::min(cRetryBurst, mRetryBudget + cRetryShare);
     const core::time_point now = core::boot_clock::now();
+    mRetryBudget.requestStarted(now);
     auto added = std::make_unique<dispatched_run>();
     added->request = inRun;
     added->startedAt = now;
@@ -306,7 +303,10 @@
         inEnd = unknownEnd(core::error_kind::outcome_unknown, "the stream could not be continued");
     ioRun.refusedBy.insert(ioRun.endpoint);
     leaveEndpoint(ioRun, inEnd);
-    repeatOrFinish(ioRun, std::move(inEnd), true);
+    // A change of owner returns all waiting runs at once, and each was only to be sent elsewhere.
+    const bool redirected
+        = inEnd.outcome == run_outcome::not_run && inEnd.error.kind == core::error_kind::conflict;
+    repeatOrFinish(ioRun, std::move(inEnd), !redirected);
 }
 
 void dispatch_service::repeatOrFinish(dispatched_run &ioRun, run_end inEnd, bool inBudgeted)
@@ -469,12 +469,10 @@
 
 bool dispatch_service::takeRetryBudget()
 {
-    if (mRetryBudget < 1) {
-        mMetrics.count("retries_denied_total");
-        return false;
-    }
-    mRetryBudget -= 1;
-    return true;
+    if (mRetryBudget.tryRetry(core::boot_clock::now()))
+        return true;
+    mMetrics.count("retries_denied_total");
+    return false;
 }
 
 std::string dispatch_service::dump() const
--- a/corneltally/entry/dispatch_service.h
+++ b/corneltally/entry/dispatch_service.h
@@ -7,6 +7,7 @@
 #include "corneltally/entry/peers_messages.h"
 #include "corneltally/kernel/service.h"
 #include "corneltally/kernel/timer.h"
+#include "corneltally/limits/retry_budget.h"
 
 #include <memory>
 #include <random>
@@ -77,8 +78,7 @@
     kernel::timer mSweep;
     run_map mRuns;
     std::mt19937_64 mRandom;
-    /// Retries that may be made now: a part of each request adds to it.
-    double mRetryBudget;
+    limits::retry_budget mRetryBudget;
     core::time_point mLastPrune;
 };
 
