Start the daemon from the entry subcommand

The daemon's start function is on main now, so the placeholder that only printed an error is gone and entry calls runEntry.

--- a/apps/entry_command.cpp
+++ b/apps/entry_command.cpp
@@ -1,32 +1,11 @@
 #include "apps/command_line.h"
 #include "apps/commands.h"
 #include "apps/files.h"
-#include "corneltally/settings/process_settings.h"
-
-#include <ostream>
-
-#if __has_include("corneltally/entry/daemon.h")
 #include "corneltally/entry/daemon.h"
-#endif
+#include "corneltally/settings/process_settings.h"
 
 namespace corneltally::apps {
 
-namespace {
-
-int startDaemon(const settings::process_settings &inSettings, std::ostream &outErrors)
-{
-#if __has_include("corneltally/entry/daemon.h")
-    (void)outErrors;
-    return entry::runEntry(inSettings);
-#else
-    outErrors << "corneltally entry: " << inSettings.instanceName
-              << " cannot start: this build has no daemon; build it with the daemon's sources\n";
-    return cExitFailed;
-#endif
-}
-
-} // namespace
-
 int runEntryCommand(const std::vector<std::string> &inArguments, command_output inOutput)
 {
     command_line line("entry", "Runs an entry instance until it is drained by SIGTERM.");
@@ -40,7 +19,7 @@
     if (const auto text = readFile(path, problems)) {
         const auto settings = settings::process_settings::sFromToml(*text, path, &problems);
         if (settings)
-            return startDaemon(*settings, inOutput.errors);
+            return entry::runEntry(*settings);
     }
     printProblems(problems, inOutput.errors);
     return cExitUsage;
