--- a/tests/unit/settings_tree_test.cpp
+++ b/tests/unit/settings_tree_test.cpp
@@ -175,6 +175,59 @@
     CHECK(orders->accounts == std::vector<std::string>{"harbour", "harbour/desk"});
 }
 
+TEST_CASE("the catalog uses the documented defaults")
+{
+    const settings::catalog index(readTree(R"([accounts.a]
+rate_tokens_per_second = 1
+burst_tokens = 1
+[endpoints.e]
+address = "127.0.0.1:1"
+failure_domain = "n"
+base_model = "b"
+[routes.r]
+path = "/r"
+)"));
+    CHECK(index.maxQueue() == 256);
+    CHECK(index.patientMaxWait() == std::chrono::milliseconds(20'000));
+    CHECK(index.weightLoadsPerSecond() == 3);
+    const settings::route_view *route = index.findRoute("/r");
+    REQUIRE(route != nullptr);
+    CHECK(route->kind == settings::endpoint_kind::model);
+    CHECK_FALSE(route->open);
+    CHECK_FALSE(route->repeatable);
+    CHECK_FALSE(route->requireIdempotencyKey);
+    CHECK(route->trafficClass == settings::traffic_class::prompt);
+    CHECK(route->timeout == std::chrono::milliseconds(60'000));
+    CHECK(route->streamIdle == std::chrono::milliseconds(15'000));
+    const settings::endpoint_view *endpoint = index.findEndpoint("e");
+    REQUIRE(endpoint != nullptr);
+    CHECK(endpoint->kind == settings::endpoint_kind::model);
+    CHECK_FALSE(endpoint->checksFencing);
+    CHECK(endpoint->adapterSlots == 4);
+    CHECK(endpoint->runSlots == 8);
+    CHECK_FALSE(endpoint->leaving);
+    CHECK(index.findAccount("a")->maxSettingsAgeSeconds == 0);
+}
+
+TEST_CASE("withdrawing an account or a key group withdraws the keys below it")
+{
+    settings_tree tree = readTree(cTree);
+    REQUIRE_FALSE(settings::catalog(tree).findKey(cDigest)->withdrawn);
+    SECTION("account")
+    {
+        const auto reason = tree.applyInPlace(
+            makeChange(tree, "c1", {{"/accounts/harbour", "withdrawn", true}}), 1);
+        REQUIRE_FALSE(reason.has_value());
+    }
+    SECTION("key group")
+    {
+        const auto reason = tree.applyInPlace(
+            makeChange(tree, "c1", {{"/accounts/harbour/keys", "withdrawn", true}}), 1);
+        REQUIRE_FALSE(reason.has_value());
+    }
+    CHECK(settings::catalog(tree).findKey(cDigest)->withdrawn);
+}
+
 TEST_CASE("all problems of a tree file are reported in one run with their lines")
 {
     const auto problems = problemsOf(R"(max_queue = 0
