Add the owner's logic of one endpoint

Cause: the owner service needs the logic of one endpoint separately, so that it can be tested with a mock engine on a virtual clock.

Change: entry/owned_endpoint, templated over the engine protocol: ownership, reports, queue, runs with resumption, loads and unloads with permits, and the status that is published.

--- /dev/null
+++ b/corneltally/entry/owned_endpoint.h
@@ -0,0 +1,186 @@
+#pragma once
+
+#include "corneltally/endpoint/engine_protocol.h"
+#include "corneltally/entry/admission_messages.h"
+#include "corneltally/entry/dispatch_messages.h"
+#include "corneltally/entry/owned_endpoint_options.h"
+#include "corneltally/entry/owned_run.h"
+#include "corneltally/ownership/lease.h"
+#include "corneltally/ownership/takeover.h"
+#include "corneltally/scheduling/adapter_slots.h"
+#include "corneltally/scheduling/endpoint_health.h"
+#include "corneltally/scheduling/endpoint_queue.h"
+#include "corneltally/settings/endpoint_view.h"
+
+#include <algorithm>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+
+namespace corneltally::entry {
+
+/// One endpoint that this instance owns or may own: acquires and gives up ownership, queues and
+/// starts runs, and loads and unloads adapters. The engine must outlive the calls that it makes.
+template <endpoint::engine_protocol Engine>
+class owned_endpoint
+{
+public:
+    owned_endpoint(Engine &inEngine, settings::endpoint_view inView,
+                   owned_endpoint_options inOptions, owned_endpoint_hooks inHooks);
+
+    /// Applies the settings tree: the endpoint, limits of its queue, and the number that tells this
+    /// instance's fencing numbers from those of others.
+    void configure(const settings::endpoint_view &inView, std::size_t inMaxQueued,
+                   core::duration inPatientMaxWait, std::uint64_t inFenceSlot);
+
+    /// Whether this instance should own the endpoint, by the rule of ownership::chooseOwner().
+    void setWanted(bool inWanted);
+
+    /// Another instance published a fencing number of the endpoint.
+    void noteFence(std::uint64_t inFence) { mHighestKnown = std::max(mHighestKnown, inFence); }
+
+    /// Takes no new runs. Returns the number of waiting runs that were given back.
+    std::size_t startDrain();
+
+    /// The process did not run for a while: another instance may have taken over.
+    void resumeAfterPause();
+
+    void submit(const run_submit &inSubmit);
+    void cancel(const std::string &inRequestId, const std::string &inOrigin);
+    /// Drops waiting runs whose origin is gone.
+    void dropOrigin(const std::string &inOrigin);
+    void loadAdmitted(const weight_load_result &inResult);
+
+    /// Does what has become due; call it every few dozen milliseconds.
+    void tick();
+
+    /// For the dispatching instances; nothing if this instance is not the owner.
+    std::optional<endpoint_status> status() const;
+    bool hasRuns() const { return !mRuns.empty(); }
+    bool isOwning() const { return mTakeover.isOwning(); }
+    const settings::endpoint_view &view() const { return mView; }
+    /// The lease of an endpoint that does not check fencing numbers.
+    ownership::lease &lease() { return mLease; }
+    bool wantsLease() const { return mWanted && !mDraining && !mView.checksFencing; }
+    std::string dump() const;
+
+private:
+    struct load_permit
+    {
+        std::string adapter;
+        core::time_point since;
+        bool granted = false;
+    };
+
+    struct sent_command
+    {
+        std::string adapter;
+        std::uint64_t fence = 0;
+        std::uint64_t ownership = 0;
+    };
+
+    // Ownership.
+    void acquire();
+    void registerFence(std::uint64_t inHighest, std::uint64_t inAttempt);
+    void ownershipAcquired(std::uint64_t inFence);
+    void acquireFailed(const std::string &inReason);
+    void loseOwnership(const std::string &inReason);
+    void staleFence(std::uint64_t inUsedFence, const std::string &inReason);
+    void watchLease();
+    void poll();
+    void takeReport(const endpoint::engine_state &inState);
+    void pollFailed(const std::string &inReason);
+
+    // Runs.
+    bool mayTakeRuns() const;
+    bool mayContinueRuns() const;
+    void queueRun(const run_submit &inSubmit);
+    void continueStream(const run_submit &inSubmit);
+    void startRuns();
+    void startRun(const scheduling::queued_request &inRequest);
+    void resumeRun(owned_run &ioRun);
+    endpoint::engine_run engineRun(const owned_run &inRun) const;
+    endpoint::engine_run_events runEvents(const std::string &inRequestId);
+    void takeHead(owned_run &ioRun, int inStatus, const std::string &inContentType);
+    void takeEnd(const std::string &inRequestId, const endpoint::engine_run_end &inEnd);
+    void interruptRun(owned_run &ioRun, const std::string &inReason);
+    void finishRun(const std::string &inRequestId, run_end inEnd, double inUsedTokens);
+    void noteUncertainRun(const owned_run &inRun);
+    void refuse(const run_submit &inSubmit, core::error_kind inKind, const std::string &inReason);
+    std::size_t refuseWaiting(core::error_kind inKind, const std::string &inReason);
+    void dropEarlier(const std::string &inRequestId);
+    void expireWaiting();
+    scheduling::queued_request queueEntry(const run_submit &inSubmit) const;
+    run_end notRun(core::error_kind inKind, const std::string &inReason) const;
+    core::duration estimatedWait() const;
+
+    // Adapters.
+    bool mayCommand() const;
+    bool isInUse(const std::string &inAdapter) const;
+    void decideSlots();
+    void askForPermit(const std::string &inAdapter);
+    void returnPermit();
+    void sendLoad(const std::string &inAdapter);
+    void loadEnded(const sent_command &inSent, const endpoint::engine_command_result &inResult);
+    void sendUnload(const std::string &inAdapter);
+    void unloadEnded(const sent_command &inSent, const endpoint::engine_command_result &inResult);
+    void resolveUnloads();
+
+    Engine &mEngine;
+    settings::endpoint_view mView;
+    owned_endpoint_options mOptions;
+    owned_endpoint_hooks mHooks;
+    std::uint64_t mFenceSlot = 0;
+    bool mWanted = false;
+    bool mDraining = false;
+
+    ownership::takeover mTakeover;
+    ownership::lease mLease;
+    bool mLeaseHeld = false;
+    /// Tells the answers of an earlier acquisition or ownership from current ones.
+    std::uint64_t mAttempt = 0;
+    std::uint64_t mOwnershipNumber = 0;
+    core::time_point mNextAcquire;
+    core::duration mAcquireDelay{};
+    /// Wait after another instance took over; doubled if the two do so in turn.
+    core::duration mLossDelay{};
+    std::uint64_t mHighestKnown = 0;
+    bool mNeedsNewFence = false;
+    core::time_point mAcquiredAt;
+
+    bool mPolling = false;
+    core::time_point mNextPoll;
+    int mFailedPolls = 0;
+    static constexpr int sFailedPollLimit = 3;
+    /// A report was received since the endpoint was taken over.
+    bool mReported = false;
+    std::map<std::string, int, std::less<>> mReportedRuns;
+
+    scheduling::endpoint_queue mQueue;
+    scheduling::adapter_slots mSlots;
+    scheduling::endpoint_health mHealth;
+    std::map<std::string, run_submit, std::less<>> mWaiting;
+    std::map<std::string, owned_run, std::less<>> mRuns;
+    core::duration mServiceTime{};
+
+    std::optional<load_permit> mPermit;
+    core::time_point mNextLoad;
+    /// Unloads that may still take effect, and when that is ruled out. No run of these starts.
+    std::map<std::string, core::time_point> mUncertainUnloads;
+    std::uint64_t mLoads = 0;
+    std::uint64_t mFailedLoads = 0;
+    std::uint64_t mUnloads = 0;
+};
+
+/// Name of an adapter version, as engines call it.
+std::string adapterName(std::string_view inAdapter, std::string_view inVersion);
+
+/// The parts of a name made by adapterName().
+resident_adapter splitAdapterName(std::string_view inName);
+
+} // namespace corneltally::entry
+
+#include "corneltally/entry/owned_endpoint_adapters_impl.h"
+#include "corneltally/entry/owned_endpoint_impl.h"
+#include "corneltally/entry/owned_endpoint_runs_impl.h"
