--- a/standins/application_service.cpp
+++ b/standins/application_service.cpp
@@ -104,7 +104,9 @@
 void application_service::answer(const exchange_pointer &inExchange, const std::string &inOrder,
                                  long long inRuns)
 {
+    const json request = json::parse(inExchange->body(), nullptr, false);
     const json body{{"order", inOrder},
+                    {"item", request.is_object() ? request.value("item", json()) : json()},
                     {"path", inExchange->path()},
                     {"request_id", std::string(inExchange->header("X-Request-Id"))},
                     {"endpoint", mHost.name()},
--- a/standins/child_process.cpp
+++ b/standins/child_process.cpp
@@ -98,6 +98,22 @@
     return true;
 }
 
+std::string child_process::readOutput(std::chrono::milliseconds inLimit)
+{
+    const auto deadline = steady::now() + inLimit;
+    std::array<char, 4096> buffer{};
+    std::string output;
+    for (;;) {
+        pollfd wanted{.fd = mOutput, .events = POLLIN, .revents = 0};
+        if (poll(&wanted, 1, millisecondsUntil(deadline)) <= 0)
+            return output;
+        const ssize_t count = read(mOutput, buffer.data(), buffer.size());
+        if (count <= 0)
+            return output;
+        output.append(buffer.data(), static_cast<std::size_t>(count));
+    }
+}
+
 unsigned short child_process::port(const std::string &inName) const
 {
     const auto found = mPorts.find(inName);
--- a/standins/child_process.h
+++ b/standins/child_process.h
@@ -38,6 +38,9 @@
     std::string address(const std::string &inName) const;
     const std::string &readyLine() const { return mReadyLine; }
 
+    /// Waits until standard output is closed and returns what follows on what was read before.
+    std::string readOutput(std::chrono::milliseconds inLimit);
+
     pid_t pid() const { return mPid; }
     bool isRunning();
 
