Add the owner service and wire it into the daemon

Cause: endpoints had no owner, so that no model run was dispatched.

Change: entry/owner_service and lease_sync connect the logic of owned endpoints with the other services, peers and the log stream of leases; the daemon starts the service.

--- a/corneltally/entry/daemon.cpp
+++ b/corneltally/entry/daemon.cpp
@@ -9,6 +9,7 @@
 #include "corneltally/entry/front_end_service.h"
 #include "corneltally/entry/metrics.h"
 #include "corneltally/entry/operator_api_service.h"
+#include "corneltally/entry/owner_service.h"
 #include "corneltally/entry/peers_service.h"
 #include "corneltally/entry/settings_sync_service.h"
 #include "corneltally/kernel/event_loop.h"
@@ -53,9 +54,6 @@
                          .error = {core::error_kind::unavailable, "idempotency keys are not served",
                                    "send the request without a key"}});
     });
-    ioRegistry.handle<drain_started>("owner", [&ioRegistry](const drain_started &) {
-        ioRegistry.post("drain", endpoints_drained{});
-    });
 }
 
 /// The services of one entry instance.
@@ -91,6 +89,11 @@
             std::make_unique<platform::log_client>(mLoop,
                                                    http::parseAddress(inSettings.platformAddress)),
             settings_sync_options{.instance = inSettings.instanceName}));
+        mRegistry.add(std::make_unique<owner_service>(
+            mRegistry,
+            owner_options{.instance = inSettings.instanceName,
+                          .incarnation = mIncarnation,
+                          .platform = http::parseAddress(inSettings.platformAddress)}));
         substituteMissingServices(mRegistry);
     }
 
--- a/corneltally/entry/owned_endpoint.h
+++ b/corneltally/entry/owned_endpoint.h
@@ -57,6 +57,7 @@
 
     /// For the dispatching instances; nothing if this instance is not the owner.
     std::optional<endpoint_status> status() const;
+    bool isWanted() const { return mWanted && !mDraining; }
     bool hasRuns() const { return !mRuns.empty(); }
     bool isOwning() const { return mTakeover.isOwning(); }
     const settings::endpoint_view &view() const { return mView; }
--- a/corneltally/entry/owned_endpoint_impl.h
+++ b/corneltally/entry/owned_endpoint_impl.h
@@ -20,7 +20,8 @@
     , mView(std::move(inView))
     , mOptions(std::move(inOptions))
     , mHooks(std::move(inHooks))
-    , mLease(mView.name, mOptions.instance, mOptions.incarnation, mOptions.leaseLength)
+    , mLease(mView.name, mOptions.instance, mOptions.incarnation, mOptions.leaseLength,
+             mOptions.firstLeaseSequence)
 { }
 
 template <endpoint::engine_protocol Engine>
--- a/corneltally/entry/owned_endpoint_options.h
+++ b/corneltally/entry/owned_endpoint_options.h
@@ -18,6 +18,7 @@
     /// Longest time that a run of an earlier owner may go on; longer requests extend it.
     core::duration longestRequest = std::chrono::seconds(60);
     core::duration leaseLength = std::chrono::seconds(10);
+    std::uint64_t firstLeaseSequence = 1;
 };
 
 /// What the owner of an endpoint uses of its process. All are called from the loop.
--- /dev/null
+++ b/corneltally/entry/owner_service.cpp
@@ -0,0 +1,325 @@
+#include "corneltally/entry/owner_service.h"
+
+#include "corneltally/entry/drain_messages.h"
+#include "corneltally/kernel/service_registry.h"
+#include "corneltally/settings/catalog.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace corneltally::entry {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr core::duration cTickPeriod = 25ms;
+/// Statuses are published on change, but not more often than this.
+constexpr core::duration cPublishPeriod = 100ms;
+
+bool isIn(const std::vector<std::string> &inNames, const std::string &inName)
+{
+    return std::ranges::find(inNames, inName) != inNames.end();
+}
+
+} // namespace
+
+owner_service::owner_service(kernel::service_registry &inRegistry, owner_options inOptions)
+    : mRegistry(inRegistry)
+    , mOptions(std::move(inOptions))
+    , mLog(inRegistry.loop(), mOptions.platform)
+    , mLeases(
+          mLog, [] { return core::boot_clock::now(); },
+          [this](const std::string &inEndpoint) -> ownership::lease * {
+              const auto found = mOwned.find(inEndpoint);
+              const bool wanted = found != mOwned.end() && found->second.state->wantsLease();
+              return wanted ? &found->second.state->lease() : nullptr;
+          })
+    , mTick(inRegistry.loop(), [this] { tick(); })
+{
+    handleMessages();
+}
+
+owner_service::~owner_service() = default;
+
+void owner_service::handleMessages()
+{
+    mRegistry.handle<catalog_changed>(
+        name(), [this](const catalog_changed &inChange) { applyCatalog(inChange); });
+    mRegistry.handle<peers_changed>(
+        name(), [this](const peers_changed &inChange) { applyPeers(inChange); });
+    mRegistry.handle<peer_connected>(
+        name(), [this](const peer_connected &inConnected) { publishAllTo(inConnected.instance); });
+    mRegistry.handle<paused>(name(), [this](const paused &) {
+        for (auto &[endpoint, entry] : mOwned)
+            entry.state->resumeAfterPause();
+    });
+    mRegistry.handle<drain_started>(name(), [this](const drain_started &) { startDrain(); });
+    mRegistry.handle<run_submit>(name(), [this](const run_submit &inSubmit) { submit(inSubmit); });
+    mRegistry.handle<peer_received<run_submit>>(
+        name(),
+        [this](const peer_received<run_submit> &inReceived) { submit(inReceived.message); });
+    mRegistry.handle<run_cancel>(name(), [this](const run_cancel &inCancel) { cancel(inCancel); });
+    mRegistry.handle<peer_received<run_cancel>>(
+        name(),
+        [this](const peer_received<run_cancel> &inReceived) { cancel(inReceived.message); });
+    mRegistry.handle<peer_received<endpoint_status>>(
+        name(), [this](const peer_received<endpoint_status> &inReceived) {
+            noteStatus(inReceived.message);
+        });
+    mRegistry.handle<weight_load_result>(name(), [this](const weight_load_result &inResult) {
+        const auto found = mOwned.find(inResult.endpoint);
+        if (found != mOwned.end())
+            found->second.state->loadAdmitted(inResult);
+        else if (inResult.granted)
+            mRegistry.post("admission",
+                           weight_load_done{inResult.endpoint, inResult.adapter, inResult.version});
+    });
+}
+
+void owner_service::start()
+{
+    mTick.startRepeating(cTickPeriod);
+}
+
+void owner_service::applyCatalog(const catalog_changed &inChange)
+{
+    mCatalog = inChange.catalog;
+    for (auto &[endpoint, entry] : mOwned) {
+        const settings::endpoint_view *view = mCatalog->findEndpoint(endpoint);
+        entry.obsolete = view == nullptr || view->address != entry.address
+            || view->kind != settings::endpoint_kind::model;
+    }
+    chooseEndpoints();
+}
+
+void owner_service::applyPeers(const peers_changed &inChange)
+{
+    const peers_changed before = std::exchange(mPeers, inChange);
+    const auto isKnown = [](const peers_changed &inPeers, const std::string &inName) {
+        return isIn(inPeers.live, inName) || isIn(inPeers.draining, inName);
+    };
+    for (const std::vector<std::string> *names : {&before.live, &before.draining}) {
+        for (const std::string &instance : *names) {
+            if (isKnown(mPeers, instance))
+                continue;
+            for (auto &[endpoint, entry] : mOwned)
+                entry.state->dropOrigin(instance);
+        }
+    }
+    chooseEndpoints();
+    for (const std::string &instance : mPeers.live) {
+        if (instance != mOptions.instance && !isKnown(before, instance))
+            publishAllTo(instance);
+    }
+}
+
+std::vector<ownership::owner_candidate> owner_service::candidates() const
+{
+    std::vector<ownership::owner_candidate> found;
+    found.reserve(mPeers.live.size());
+    for (const std::string &instance : mPeers.live) {
+        if (const settings::instance_view *view = mCatalog->findInstance(instance))
+            found.push_back({instance, view->failureDomain});
+    }
+    return found;
+}
+
+void owner_service::chooseEndpoints()
+{
+    if (!mCatalog)
+        return;
+    const std::vector<ownership::owner_candidate> live = candidates();
+    for (const auto &[name, view] : mCatalog->endpoints()) {
+        const auto owner = ownership::chooseOwner(name, view.failureDomain, live);
+        const bool wanted = !mDraining && view.kind == settings::endpoint_kind::model
+            && owner == mOptions.instance;
+        const auto found = mOwned.find(name);
+        if (wanted && (found == mOwned.end() || !found->second.obsolete))
+            wantEndpoint(view);
+        else if (found != mOwned.end())
+            found->second.state->setWanted(false);
+    }
+    for (auto &[name, entry] : mOwned) {
+        if (entry.obsolete)
+            entry.state->setWanted(false);
+    }
+}
+
+void owner_service::wantEndpoint(const settings::endpoint_view &inView)
+{
+    owned &entry = mOwned[inView.name];
+    if (!entry.state) {
+        entry.address = inView.address;
+        entry.engine = std::make_unique<endpoint::engine_client>(
+            mRegistry.loop(), http::parseAddress(inView.address));
+        entry.state = std::make_unique<owned_state>(
+            *entry.engine, inView,
+            owned_endpoint_options{.instance = mOptions.instance,
+                                   .incarnation = mOptions.incarnation,
+                                   .firstLeaseSequence = ++mCreated << 32U},
+            hooksOf(inView.name));
+        const auto known = mKnownFences.find(inView.name);
+        if (known != mKnownFences.end())
+            entry.state->noteFence(known->second);
+    }
+    const auto self = mCatalog->instances().find(mOptions.instance);
+    const auto slot = std::distance(mCatalog->instances().begin(), self);
+    entry.state->configure(inView, static_cast<std::size_t>(std::max(1, mCatalog->maxQueue())),
+                           mCatalog->patientMaxWait(), static_cast<std::uint64_t>(slot));
+    entry.state->setWanted(true);
+}
+
+owned_endpoint_hooks owner_service::hooksOf(const std::string &inEndpoint)
+{
+    return {.now = [] { return core::boot_clock::now(); },
+            .sendEvent = [this](const std::string &inOrigin,
+                                run_event inEvent) { sendEvent(inOrigin, std::move(inEvent)); },
+            .accountWeight =
+                [this](const std::string &inAccount) {
+                    const settings::account_view *account = mCatalog->findAccount(inAccount);
+                    return account == nullptr ? 1.0 : account->weight;
+                },
+            .admitLoad =
+                [this, inEndpoint](const std::string &inAdapter, const std::string &inVersion) {
+                    admitLoad(inEndpoint, inAdapter, inVersion);
+                },
+            .loadDone =
+                [this, inEndpoint](const std::string &inAdapter, const std::string &inVersion) {
+                    mRegistry.post("admission", weight_load_done{inEndpoint, inAdapter, inVersion});
+                }};
+}
+
+void owner_service::admitLoad(const std::string &inEndpoint, const std::string &inAdapter,
+                              const std::string &inVersion)
+{
+    if (mRegistry.post("admission", weight_load_admit{inEndpoint, inAdapter, inVersion}))
+        return;
+    // Without an admission service, as in tests of this service alone, nothing limits loads.
+    mRegistry.post(name(), weight_load_result{inEndpoint, inAdapter, inVersion, true, {}});
+}
+
+void owner_service::sendEvent(const std::string &inOrigin, run_event inEvent)
+{
+    if (inOrigin == mOptions.instance)
+        mRegistry.post("dispatch", std::move(inEvent));
+    else
+        mRegistry.post("peers", peer_send{inOrigin, std::move(inEvent)});
+}
+
+void owner_service::submit(const run_submit &inSubmit)
+{
+    const auto found = mOwned.find(inSubmit.endpoint);
+    if (found != mOwned.end()) {
+        found->second.state->submit(inSubmit);
+        return;
+    }
+    run_end end{.outcome = run_outcome::not_run,
+                .error = {core::error_kind::unavailable, "this instance does not own the endpoint",
+                          "repeat the request"},
+                .retryAfterSeconds = 1};
+    end.endpoint = inSubmit.endpoint;
+    sendEvent(inSubmit.origin, {inSubmit.request.requestId, std::move(end)});
+}
+
+void owner_service::cancel(const run_cancel &inCancel)
+{
+    for (auto &[endpoint, entry] : mOwned)
+        entry.state->cancel(inCancel.requestId, inCancel.origin);
+}
+
+void owner_service::noteStatus(const endpoint_status &inStatus)
+{
+    std::uint64_t &known = mKnownFences[inStatus.endpoint];
+    known = std::max(known, inStatus.fence);
+    const auto found = mOwned.find(inStatus.endpoint);
+    if (found != mOwned.end())
+        found->second.state->noteFence(known);
+}
+
+void owner_service::startDrain()
+{
+    mDraining = true;
+    for (auto &[endpoint, entry] : mOwned)
+        mHandedOver += entry.state->startDrain();
+    chooseEndpoints();
+    reportDrained();
+}
+
+void owner_service::tick()
+{
+    const core::time_point now = core::boot_clock::now();
+    std::vector<std::string> leased;
+    for (auto &[endpoint, entry] : mOwned) {
+        if (entry.state->wantsLease())
+            leased.push_back(endpoint);
+    }
+    mLeases.tick(leased);
+    for (auto &[endpoint, entry] : mOwned) {
+        entry.state->tick();
+        publish(entry, now);
+    }
+    removeUnused();
+    if (mDraining)
+        reportDrained();
+}
+
+void owner_service::publish(owned &ioOwned, core::time_point inNow)
+{
+    std::optional<endpoint_status> status = ioOwned.state->status();
+    if (!status && ioOwned.published && ioOwned.published->accepting) {
+        status = ioOwned.published;
+        status->accepting = false;
+    }
+    if (!status || status == ioOwned.published || inNow - ioOwned.publishedAt < cPublishPeriod)
+        return;
+    ioOwned.published = status;
+    ioOwned.publishedAt = inNow;
+    mRegistry.post("dispatch", *status);
+    mRegistry.post("peers", peer_send{"", *status});
+}
+
+void owner_service::publishAllTo(const std::string &inInstance)
+{
+    for (const auto &[endpoint, entry] : mOwned) {
+        if (entry.published && entry.state->status())
+            mRegistry.post("peers", peer_send{inInstance, *entry.published});
+    }
+}
+
+void owner_service::removeUnused()
+{
+    bool replaced = false;
+    for (auto entry = mOwned.begin(); entry != mOwned.end();) {
+        owned &current = entry->second;
+        const bool done = !current.state->isWanted() && !current.state->hasRuns()
+            && !current.state->status() && !(current.published && current.published->accepting);
+        replaced = replaced || (done && current.obsolete);
+        entry = done ? mOwned.erase(entry) : std::next(entry);
+    }
+    // An endpoint with a new address is owned anew.
+    if (replaced)
+        chooseEndpoints();
+}
+
+void owner_service::reportDrained()
+{
+    const bool running = std::ranges::any_of(
+        mOwned, [](const auto &inEntry) { return inEntry.second.state->hasRuns(); });
+    if (running || std::exchange(mDrainReported, true))
+        return;
+    mRegistry.post("drain", endpoints_drained{mHandedOver});
+}
+
+std::string owner_service::dump() const
+{
+    std::string text = std::string("{\"draining\":") + (mDraining ? "true" : "false");
+    text.append(",\"leases_read_to\":").append(std::to_string(mLeases.table().nextOffset()));
+    text.append(",\"endpoints\":[");
+    bool first = true;
+    for (const auto &[endpoint, entry] : mOwned)
+        text.append(std::exchange(first, false) ? "" : ",").append(entry.state->dump());
+    return text.append("]}");
+}
+
+} // namespace corneltally::entry
--- a/corneltally/ownership/lease.cpp
+++ b/corneltally/ownership/lease.cpp
@@ -13,11 +13,12 @@
 } // namespace
 
 lease::lease(std::string inEndpoint, std::string inInstance, std::uint64_t inIncarnation,
-             core::duration inLength)
+             core::duration inLength, std::uint64_t inFirstSequence)
     : mEndpoint(std::move(inEndpoint))
     , mInstance(std::move(inInstance))
     , mIncarnation(inIncarnation)
     , mLength(inLength)
+    , mNextSequence(inFirstSequence)
 { }
 
 std::optional<lease_record> lease::propose(const lease_table &inTable, core::time_point inNow)
--- a/corneltally/ownership/lease.h
+++ b/corneltally/ownership/lease.h
@@ -17,8 +17,9 @@
 class lease
 {
 public:
+    /// inFirstSequence must be greater than those of all earlier leases of this incarnation.
     lease(std::string inEndpoint, std::string inInstance, std::uint64_t inIncarnation,
-          core::duration inLength);
+          core::duration inLength, std::uint64_t inFirstSequence = 1);
 
     /// Record to append now, if any: a first one once the lease of another instance has expired, or
     /// a renewal after half of the duration. Call observe() before. The caller appends it at once;
@@ -45,7 +46,7 @@
     std::string mInstance;
     std::uint64_t mIncarnation;
     core::duration mLength;
-    std::uint64_t mNextSequence = 1;
+    std::uint64_t mNextSequence;
     /// When each append whose record was not read yet was started.
     std::map<std::uint64_t, core::time_point> mStarted;
     std::optional<std::uint64_t> mPending;
--- a/corneltally/ownership/lease_table.cpp
+++ b/corneltally/ownership/lease_table.cpp
@@ -31,6 +31,11 @@
     return true;
 }
 
+void lease_table::skip(std::uint64_t inOffset)
+{
+    mNextOffset = std::max(mNextOffset, inOffset + 1);
+}
+
 const lease_table::current_lease *lease_table::find(std::string_view inEndpoint) const
 {
     const auto found = mLeases.find(inEndpoint);
--- a/corneltally/ownership/lease_table.h
+++ b/corneltally/ownership/lease_table.h
@@ -32,6 +32,9 @@
     /// Applies a record; true if it is valid and now the current lease.
     bool apply(std::uint64_t inOffset, const lease_record &inRecord, core::time_point inNow);
 
+    /// Passes over a record that cannot be read; all readers do so.
+    void skip(std::uint64_t inOffset);
+
     /// The current lease of an endpoint, or nullptr.
     const current_lease *find(std::string_view inEndpoint) const;
 
