--- a/corneltally/entry/daemon.cpp
+++ b/corneltally/entry/daemon.cpp
@@ -9,6 +9,7 @@
 #include "corneltally/entry/front_end_service.h"
 #include "corneltally/entry/metrics.h"
 #include "corneltally/entry/operator_api_service.h"
+#include "corneltally/entry/owner_service.h"
 #include "corneltally/entry/peers_service.h"
 #include "corneltally/entry/settings_sync_service.h"
 #include "corneltally/kernel/event_loop.h"
@@ -53,6 +54,14 @@
         ioRegistry.post("front_end", admission_result{.requestId = inAdmit.requestId});
     });
     ioRegistry.handle<settle>("admission", [](const settle &) {});
+    ioRegistry.handle<weight_load_admit>(
+        "admission", [&ioRegistry](const weight_load_admit &inLoad) {
+            ioRegistry.post("owner",
+                            weight_load_result{.endpoint = inLoad.endpoint,
+                                               .adapter = inLoad.adapter,
+                                               .version = inLoad.version,
+                                               .granted = true});
+        });
     ioRegistry.handle<claim_begin>("claims", [&ioRegistry](const claim_begin &inBegin) {
         ioRegistry.post(
             "front_end",
@@ -61,9 +70,6 @@
                          .error = {core::error_kind::unavailable, "idempotency keys are not served",
                                    "send the request without a key"}});
     });
-    ioRegistry.handle<drain_started>("owner", [&ioRegistry](const drain_started &) {
-        ioRegistry.post("drain", endpoints_drained{});
-    });
 }
 
 /// The services of one entry instance.
@@ -101,6 +107,11 @@
                                                    http::parseAddress(inSettings.platformAddress)),
             settings_sync_options{.instance = inSettings.instanceName,
                                   .endpointAddresses = inSettings.endpointAddresses}));
+        mRegistry.add(std::make_unique<owner_service>(
+            mRegistry,
+            owner_options{.instance = inSettings.instanceName,
+                          .incarnation = mIncarnation,
+                          .platform = http::parseAddress(inSettings.platformAddress)}));
         substituteMissingServices(mRegistry);
     }
 
