Update the catalog in part after a change

Change: a catalog shares the accounts, routes, endpoints, instances and 256 shards of adapters whose stamps (node count, latest version, versions of the nodes they inherit from) are those of its predecessor. One walk over the tree finds the stamps.

--- a/bench/slopes_bench.cpp
+++ b/bench/slopes_bench.cpp
@@ -102,6 +102,7 @@
     bench::slope_fit snapshotBytes;
     bench::slope_fit applyTime;
     bench::slope_fit catalogTime;
+    bench::slope_fit updateTime;
     bench::slope_fit lookupTime;
     for (const int adapters : cAdapterSizes) {
         const double before = heapBytes();
@@ -122,6 +123,13 @@
         catalogTime.add(adapters, microseconds(3, [&] {
                             catalog = std::make_unique<settings::catalog>(*tree);
                         }));
+        updateTime.add(adapters, microseconds(20, [&] {
+                           const auto offset = static_cast<std::uint64_t>(sequence);
+                           (void)tree->applyInPlace(versionChange(*tree, sequence), offset);
+                           ++sequence;
+                           catalog = std::make_unique<settings::catalog>(
+                               *tree, settings::catalog::address_map(), catalog.get());
+                       }));
         lookupTime.add(adapters, microseconds(10'000, [&] {
                            if (catalog->findAdapter("adapter-77") == nullptr)
                                std::cerr << "an adapter is missing\n";
@@ -132,6 +140,7 @@
     snapshotBytes.print("snapshot per adapter", "bytes", cTargetAdapters);
     applyTime.print("apply a change, by adapters", "us", cTargetAdapters);
     catalogTime.print("build a catalog, by adapters", "us", cTargetAdapters);
+    updateTime.print("apply and update the catalog", "us", cTargetAdapters);
     lookupTime.print("find an adapter, by adapters", "us", cTargetAdapters);
     const settings::settings_tree tree = buildTree(100);
     std::printf("%-34s %zu bytes\n", "change record", versionChange(tree, 1).toJson().size());
--- a/corneltally/entry/front_end_service.cpp
+++ b/corneltally/entry/front_end_service.cpp
@@ -193,8 +193,8 @@
     }
     std::vector<const settings::adapter_view *> adapters;
     adapters.reserve(mCatalog->adapterCount());
-    for (const auto &[name, adapter] : mCatalog->adapters())
-        adapters.push_back(&adapter);
+    mCatalog->forEachAdapter(
+        [&adapters](const settings::adapter_view &inAdapter) { adapters.push_back(&inAdapter); });
     std::ranges::sort(adapters, {}, &settings::adapter_view::name);
     std::string text = "{\"object\":\"list\",\"data\":[";
     for (const settings::adapter_view *adapter : adapters) {
--- a/corneltally/entry/settings_sync_service.h
+++ b/corneltally/entry/settings_sync_service.h
@@ -69,6 +69,8 @@
     bool mLogEndSeen = false;
     core::duration mRetryDelay;
     std::optional<std::uint64_t> mPublished;
+    /// The catalog in force; the next one shares what does not change.
+    std::shared_ptr<const settings::catalog> mCatalog;
     std::optional<core::time_point> mConfirmed;
     /// When the log itself last confirmed the tree.
     std::optional<core::time_point> mLogConfirmed;
@@ -340,8 +342,9 @@
         return;
     mPublished = tree.version();
     core::logEvent(core::log_level::info, "settings_in_force", {{"version", tree.version()}});
-    mRegistry.broadcast(catalog_changed{
-        std::make_shared<const settings::catalog>(tree, mOptions.endpointAddresses)});
+    mCatalog = std::make_shared<const settings::catalog>(tree, mOptions.endpointAddresses,
+                                                         mCatalog.get());
+    mRegistry.broadcast(catalog_changed{mCatalog});
 }
 
 template <platform::log_service Log>
--- a/corneltally/settings/catalog.cpp
+++ b/corneltally/settings/catalog.cpp
@@ -1,12 +1,20 @@
 #include "corneltally/settings/catalog.h"
 
+#include "corneltally/core/digest.h"
 #include "corneltally/settings/node_kind.h"
 #include "corneltally/settings/settings_tree.h"
 
+#include <algorithm>
+#include <utility>
+#include <vector>
+
 namespace corneltally::settings {
 
 namespace {
 
+constexpr std::string_view cAccountsPrefix = "/accounts/";
+constexpr std::string_view cAdaptersPrefix = "/adapters/";
+
 /// Reads values of one node, with inheritance. Absent values leave the target's default.
 class node_reader
 {
@@ -117,43 +125,177 @@
 
 } // namespace
 
-catalog::catalog() = default;
+struct catalog::part_stamps
+{
+    stamp accounts;
+    stamp routes;
+    stamp endpoints;
+    stamp instances;
+    std::array<stamp, cAdapterShards> adapters;
+    /// Shard and name of every adapter, so that changed shards need no second walk over the tree.
+    std::vector<std::pair<std::size_t, std::string_view>> adapterNames;
+
+    explicit part_stamps(const settings_tree &inTree)
+    {
+        const std::uint64_t root = inTree.nodeVersion("/");
+        for (const auto &[group, target] :
+             {std::pair("/accounts", &accounts), std::pair("/routes", &routes),
+              std::pair("/endpoints", &endpoints), std::pair("/instances", &instances)}) {
+            target->group = inTree.nodeVersion(group);
+            target->root = root;
+        }
+        for (stamp &shard : adapters) {
+            shard.group = inTree.nodeVersion("/adapters");
+            shard.root = root;
+        }
+        adapterNames.reserve(inTree.nodes().size());
+        for (const auto &[path, node] : inTree.nodes()) {
+            if (stamp *target = find(path); target != nullptr) {
+                ++target->nodes;
+                target->latest = std::max(target->latest, node.version);
+            }
+        }
+    }
+
+private:
+    stamp *find(std::string_view inPath)
+    {
+        if (inPath.starts_with(cAdaptersPrefix)) {
+            const std::string_view name = inPath.substr(cAdaptersPrefix.size());
+            const std::size_t shard = sShardOf(name);
+            adapterNames.emplace_back(shard, name);
+            return &adapters[shard];
+        }
+        if (inPath.starts_with(cAccountsPrefix))
+            return &accounts;
+        if (inPath.starts_with("/routes/"))
+            return &routes;
+        if (inPath.starts_with("/endpoints/"))
+            return &endpoints;
+        return inPath.starts_with("/instances/") ? &instances : nullptr;
+    }
+};
+
+catalog::catalog()
+    : mKeysByDigest(std::make_shared<const name_index<key_view>>())
+{ }
 
-catalog::catalog(const settings_tree &inTree, const address_map &inEndpointAddresses)
-    : mVersion(inTree.version())
+catalog::catalog(const settings_tree &inTree, const address_map &inEndpointAddresses,
+                 const catalog *inPrevious)
+    : catalog()
 {
-    constexpr std::string_view cAccounts = "/accounts/";
+    if (inPrevious != nullptr) {
+        mAdapters = inPrevious->mAdapters;
+        mAccounts = inPrevious->mAccounts;
+        mKeysByDigest = inPrevious->mKeysByDigest;
+        mRoutesByPath = inPrevious->mRoutesByPath;
+        mEndpoints = inPrevious->mEndpoints;
+        mInstances = inPrevious->mInstances;
+    }
+    mVersion = inTree.version();
+    const part_stamps stamps(inTree);
+    const bool isFirst = inPrevious == nullptr;
+    if (isFirst || mAccounts.version != stamps.accounts)
+        buildAccounts(inTree);
+    if (isFirst || mRoutesByPath.version != stamps.routes)
+        buildRoutes(inTree);
+    if (isFirst || mEndpoints.version != stamps.endpoints)
+        buildEndpoints(inTree, inEndpointAddresses);
+    if (isFirst || mInstances.version != stamps.instances)
+        buildInstances(inTree);
+    mAccounts.version = stamps.accounts;
+    mRoutesByPath.version = stamps.routes;
+    mEndpoints.version = stamps.endpoints;
+    mInstances.version = stamps.instances;
+    buildAdapters(inTree, stamps);
+    readRoot(inTree);
+}
+
+std::size_t catalog::sShardOf(std::string_view inAdapter)
+{
+    return core::stableHash(inAdapter) % cAdapterShards;
+}
+
+void catalog::buildAccounts(const settings_tree &inTree)
+{
+    auto accounts = std::make_shared<ordered_index<account_view>>();
+    auto keys = std::make_shared<name_index<key_view>>();
     for (const std::string &path : inTree.subtree("/accounts")) {
         const node_kind kind = kindOf(path);
         const node_reader node(inTree, path);
         if (kind == node_kind::account) {
-            const std::string name = path.substr(cAccounts.size());
-            mAccounts.emplace(name, readAccount(node, name));
+            const std::string name = path.substr(cAccountsPrefix.size());
+            accounts->emplace(name, readAccount(node, name));
         } else if (kind == node_kind::key) {
             const std::string owner(parentPath(parentPath(path)));
-            const key_view view = readKey(node, owner.substr(cAccounts.size()));
-            mKeysByDigest.emplace(view.digest, view);
+            const key_view view = readKey(node, owner.substr(cAccountsPrefix.size()));
+            keys->emplace(view.digest, view);
         }
     }
-    for (const std::string &name : inTree.children("/adapters")) {
-        const node_reader node(inTree, "/adapters/" + name);
-        mAdapters.emplace(name, adapter_view{name, node.text("version"), node.text("base_model")});
+    mAccounts.entries = std::move(accounts);
+    mKeysByDigest = std::move(keys);
+}
+
+void catalog::buildAdapters(const settings_tree &inTree, const part_stamps &inStamps)
+{
+    std::array<std::shared_ptr<name_index<adapter_view>>, cAdapterShards> changed;
+    bool anyChanged = false;
+    for (std::size_t shard = 0; shard < cAdapterShards; ++shard) {
+        if (mAdapters[shard].version == inStamps.adapters[shard])
+            continue;
+        changed[shard] = std::make_shared<name_index<adapter_view>>();
+        anyChanged = true;
+    }
+    if (!anyChanged)
+        return;
+    for (const auto &[shard, name] : inStamps.adapterNames) {
+        if (!changed[shard])
+            continue;
+        const node_reader node(inTree, std::string(cAdaptersPrefix).append(name));
+        changed[shard]->emplace(
+            name, adapter_view{std::string(name), node.text("version"), node.text("base_model")});
+    }
+    for (std::size_t shard = 0; shard < cAdapterShards; ++shard) {
+        if (changed[shard])
+            mAdapters[shard] = {inStamps.adapters[shard], std::move(changed[shard])};
     }
+}
+
+void catalog::buildRoutes(const settings_tree &inTree)
+{
+    auto routes = std::make_shared<name_index<route_view>>();
     for (const std::string &name : inTree.children("/routes")) {
         const route_view view = readRoute({inTree, "/routes/" + name});
-        mRoutesByPath.emplace(view.path, view);
+        routes->emplace(view.path, view);
     }
+    mRoutesByPath.entries = std::move(routes);
+}
+
+void catalog::buildEndpoints(const settings_tree &inTree, const address_map &inAddresses)
+{
+    auto endpoints = std::make_shared<ordered_index<endpoint_view>>();
     for (const std::string &name : inTree.children("/endpoints"))
-        mEndpoints.emplace(name, readEndpoint({inTree, "/endpoints/" + name}));
-    for (const auto &[name, address] : inEndpointAddresses) {
-        if (const auto found = mEndpoints.find(name); found != mEndpoints.end())
+        endpoints->emplace(name, readEndpoint({inTree, "/endpoints/" + name}));
+    for (const auto &[name, address] : inAddresses) {
+        if (const auto found = endpoints->find(name); found != endpoints->end())
             found->second.address = address;
     }
+    mEndpoints.entries = std::move(endpoints);
+}
+
+void catalog::buildInstances(const settings_tree &inTree)
+{
+    auto instances = std::make_shared<ordered_index<instance_view>>();
     for (const std::string &name : inTree.children("/instances")) {
         const node_reader node(inTree, "/instances/" + name);
-        mInstances.emplace(
+        instances->emplace(
             name, instance_view{name, node.text("peer_address"), node.text("failure_domain")});
     }
+    mInstances.entries = std::move(instances);
+}
+
+void catalog::readRoot(const settings_tree &inTree)
+{
     const node_reader root(inTree, "/");
     root.readNumber("weight_loads_per_second", mWeightLoadsPerSecond);
     root.readInteger("weight_loads_in_flight", mWeightLoadsInFlight);
@@ -162,40 +304,49 @@
     root.readInteger("claim_window_s", mClaimWindow);
 }
 
+std::size_t catalog::adapterCount() const
+{
+    std::size_t count = 0;
+    for (const auto &shard : mAdapters)
+        count += shard.entries->size();
+    return count;
+}
+
 const key_view *catalog::findKey(std::string_view inDigest) const
 {
-    const auto found = mKeysByDigest.find(inDigest);
-    return found == mKeysByDigest.end() ? nullptr : &found->second;
+    const auto found = mKeysByDigest->find(inDigest);
+    return found == mKeysByDigest->end() ? nullptr : &found->second;
 }
 
 const account_view *catalog::findAccount(std::string_view inName) const
 {
-    const auto found = mAccounts.find(inName);
-    return found == mAccounts.end() ? nullptr : &found->second;
+    const auto found = mAccounts.entries->find(inName);
+    return found == mAccounts.entries->end() ? nullptr : &found->second;
 }
 
 const adapter_view *catalog::findAdapter(std::string_view inName) const
 {
-    const auto found = mAdapters.find(inName);
-    return found == mAdapters.end() ? nullptr : &found->second;
+    const auto &entries = *mAdapters[sShardOf(inName)].entries;
+    const auto found = entries.find(inName);
+    return found == entries.end() ? nullptr : &found->second;
 }
 
 const route_view *catalog::findRoute(std::string_view inPath) const
 {
-    const auto found = mRoutesByPath.find(inPath);
-    return found == mRoutesByPath.end() ? nullptr : &found->second;
+    const auto found = mRoutesByPath.entries->find(inPath);
+    return found == mRoutesByPath.entries->end() ? nullptr : &found->second;
 }
 
 const endpoint_view *catalog::findEndpoint(std::string_view inName) const
 {
-    const auto found = mEndpoints.find(inName);
-    return found == mEndpoints.end() ? nullptr : &found->second;
+    const auto found = mEndpoints.entries->find(inName);
+    return found == mEndpoints.entries->end() ? nullptr : &found->second;
 }
 
 const instance_view *catalog::findInstance(std::string_view inName) const
 {
-    const auto found = mInstances.find(inName);
-    return found == mInstances.end() ? nullptr : &found->second;
+    const auto found = mInstances.entries->find(inName);
+    return found == mInstances.entries->end() ? nullptr : &found->second;
 }
 
 } // namespace corneltally::settings
--- a/corneltally/settings/catalog.h
+++ b/corneltally/settings/catalog.h
@@ -7,9 +7,11 @@
 #include "corneltally/settings/key_view.h"
 #include "corneltally/settings/route_view.h"
 
+#include <array>
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <memory>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -19,7 +21,8 @@
 class settings_tree;
 
 /// Typed index of one version of the settings tree, built once per version. Look-ups on the request
-/// path take constant time.
+/// path take constant time. Parts that a change does not concern are shared with the catalog of the
+/// previous version: a rebuild of 21,000 adapters would stall the event loop for 0.1 s.
 class catalog
 {
 public:
@@ -28,7 +31,10 @@
     /// Addresses by endpoint name, which replace those of the tree.
     using address_map = std::map<std::string, std::string, std::less<>>;
 
-    explicit catalog(const settings_tree &inTree, const address_map &inEndpointAddresses = {});
+    /// Shares what did not change since inPrevious, which must be of the same tree and have been
+    /// built with the same addresses.
+    explicit catalog(const settings_tree &inTree, const address_map &inEndpointAddresses = {},
+                     const catalog *inPrevious = nullptr);
 
     /// Offset of the last log record in the tree.
     std::uint64_t version() const { return mVersion; }
@@ -42,18 +48,28 @@
     const instance_view *findInstance(std::string_view inName) const;
 
     /// All entries, ordered by name, so that every instance sees the same order.
-    const std::map<std::string, account_view, std::less<>> &accounts() const { return mAccounts; }
+    const std::map<std::string, account_view, std::less<>> &accounts() const
+    {
+        return *mAccounts.entries;
+    }
     const std::map<std::string, endpoint_view, std::less<>> &endpoints() const
     {
-        return mEndpoints;
+        return *mEndpoints.entries;
     }
     const std::map<std::string, instance_view, std::less<>> &instances() const
     {
-        return mInstances;
+        return *mInstances.entries;
+    }
+    std::size_t adapterCount() const;
+    /// Calls a function with every adapter, in no order.
+    template <typename Function>
+    void forEachAdapter(Function inFunction) const
+    {
+        for (const auto &shard : mAdapters) {
+            for (const auto &[name, view] : *shard.entries)
+                inFunction(view);
+        }
     }
-    std::size_t adapterCount() const { return mAdapters.size(); }
-    /// All adapters by name, in no order.
-    const auto &adapters() const { return mAdapters; }
 
     /// Fleet-wide limits of the weight store, from the root of the tree.
     double weightLoadsPerSecond() const { return mWeightLoadsPerSecond; }
@@ -75,13 +91,46 @@
     template <typename Value>
     using name_index = std::unordered_map<std::string, Value, name_hash, std::equal_to<>>;
 
+    template <typename Value>
+    using ordered_index = std::map<std::string, Value, std::less<>>;
+
+    /// Changes whenever a node of a part, or a node that it inherits from, changes.
+    struct stamp
+    {
+        std::uint64_t nodes = 0;
+        std::uint64_t latest = 0;
+        std::uint64_t group = 0;
+        std::uint64_t root = 0;
+
+        friend bool operator==(const stamp &, const stamp &) = default;
+    };
+    /// Entries of a part of the tree. They are shared between versions, since they are immutable.
+    template <typename Entries>
+    struct part
+    {
+        stamp version;
+        std::shared_ptr<const Entries> entries = std::make_shared<const Entries>();
+    };
+    struct part_stamps;
+
+    static constexpr std::size_t cAdapterShards = 256;
+    static std::size_t sShardOf(std::string_view inAdapter);
+
+    void buildAccounts(const settings_tree &inTree);
+    void buildAdapters(const settings_tree &inTree, const part_stamps &inStamps);
+    void buildRoutes(const settings_tree &inTree);
+    void buildEndpoints(const settings_tree &inTree, const address_map &inAddresses);
+    void buildInstances(const settings_tree &inTree);
+    void readRoot(const settings_tree &inTree);
+
     std::uint64_t mVersion = 0;
-    name_index<key_view> mKeysByDigest;
-    name_index<adapter_view> mAdapters;
-    name_index<route_view> mRoutesByPath;
-    std::map<std::string, account_view, std::less<>> mAccounts;
-    std::map<std::string, endpoint_view, std::less<>> mEndpoints;
-    std::map<std::string, instance_view, std::less<>> mInstances;
+    std::array<part<name_index<adapter_view>>, cAdapterShards> mAdapters;
+    part<ordered_index<account_view>> mAccounts;
+    /// Rebuilt together with the accounts.
+    std::shared_ptr<const name_index<key_view>> mKeysByDigest;
+    part<name_index<route_view>> mRoutesByPath;
+    part<ordered_index<endpoint_view>> mEndpoints;
+    part<ordered_index<instance_view>> mInstances;
     double mWeightLoadsPerSecond = 3;
     int mWeightLoadsInFlight = 8;
     int mMaxQueue = 256;
