Read changes within 3 s after the log's connection goes silent

A read that waited 1 s and was given up 2 s later left no time to read a change within 3 s if all connections of an instance go silent at once. The wait is 0.5 s now, and reads and appends have their own connections, so that the next read cannot take up an idle connection that is silent as well. A log that ends before what the tree covers (a replaced log) no longer confirms the tree. The first form of its test failed because a peer's confirmation is passed on for 2 s; the test waits for that.

--- a/corneltally/entry/settings_sync_options.h
+++ b/corneltally/entry/settings_sync_options.h
@@ -15,8 +15,9 @@
     std::string instance;
     /// Replaces the addresses of the settings tree, by endpoint name.
     std::map<std::string, std::string, std::less<>> endpointAddresses;
-    /// How long a read waits at the log for a record. The tree is confirmed once per read.
-    std::chrono::milliseconds logWait{1'000};
+    /// How long a read waits at the log for a record. The tree is confirmed once per read. A silent
+    /// connection is given up 2 s later, which must leave time to read a change within 3 s.
+    std::chrono::milliseconds logWait{500};
     /// First and longest delay before the log is tried again.
     core::duration minRetryDelay = std::chrono::milliseconds(100);
     core::duration maxRetryDelay = std::chrono::seconds(2);
--- a/corneltally/entry/settings_sync_service.h
+++ b/corneltally/entry/settings_sync_service.h
@@ -201,6 +201,9 @@
         return;
     }
     publish();
+    // A log that ends before what the tree covers does not confirm the tree.
+    if (inResult.next < mReplica.nextOffset())
+        return;
     mLogConfirmed = inResult.sentAt;
     confirm(inResult.sentAt);
 }
--- a/corneltally/platform/log_client.cpp
+++ b/corneltally/platform/log_client.cpp
@@ -100,15 +100,17 @@
 } // namespace
 
 log_client::log_client(kernel::event_loop &inLoop, http::address inPlatform)
-    : mClient(inLoop)
-    , mPlatform(std::move(inPlatform))
+    : mPlatform(std::move(inPlatform))
+    , mReads(inLoop)
+    , mAppends(inLoop)
 { }
 
 log_client::~log_client() = default;
 
 void log_client::append(const std::string &inStream, std::string inRecord, append_handler inHandler)
 {
-    call({.method = "POST",
+    call(mAppends,
+         {.method = "POST",
           .path = "/v1/log/" + inStream + "/records",
           .headers = {{"Content-Type", "application/json"}},
           .body = std::move(inRecord),
@@ -124,7 +126,7 @@
         + std::to_string(inRequest.from) + "&limit=" + std::to_string(inRequest.limit)
         + "&wait_ms=" + std::to_string(inRequest.wait.count());
     const core::time_point sentAt = core::boot_clock::now();
-    call({.path = path, .timeout = inRequest.wait + cReadMargin},
+    call(mReads, {.path = path, .timeout = inRequest.wait + cReadMargin},
          [sentAt, handler = std::move(inHandler)](const http::response &inResponse) {
              read_result result = toReadResult(inResponse);
              result.sentAt = sentAt;
@@ -134,22 +136,29 @@
 
 void log_client::cancelAll()
 {
-    for (const http::client::call_id id : mCalls)
-        mClient.cancel(id);
-    mCalls.clear();
+    mReads.cancelAll();
+    mAppends.cancelAll();
+}
+
+void log_client::channel::cancelAll()
+{
+    for (const http::client::call_id id : calls)
+        client.cancel(id);
+    calls.clear();
 }
 
 template <typename Handler>
-void log_client::call(http::call_request inRequest, Handler inHandler)
+void log_client::call(channel &ioChannel, http::call_request inRequest, Handler inHandler)
 {
     inRequest.target = mPlatform;
     auto id = std::make_shared<http::client::call_id>(0);
-    *id = http::fetch(mClient, std::move(inRequest),
-                      [this, id, handler = std::move(inHandler)](const http::response &inResponse) {
-                          mCalls.erase(*id);
-                          handler(inResponse);
-                      });
-    mCalls.insert(*id);
+    *id = http::fetch(
+        ioChannel.client, std::move(inRequest),
+        [&ioChannel, id, handler = std::move(inHandler)](const http::response &inResponse) {
+            ioChannel.calls.erase(*id);
+            handler(inResponse);
+        });
+    ioChannel.calls.insert(*id);
 }
 
 } // namespace corneltally::platform
--- a/corneltally/platform/log_client.h
+++ b/corneltally/platform/log_client.h
@@ -27,12 +27,27 @@
     void cancelAll();
 
 private:
+    /// Connections of one kind of call. Reads and appends have their own, so that after a silent
+    /// connection was closed the next call opens a new one and does not take up an idle connection
+    /// that may have gone silent as well.
+    struct channel
+    {
+        explicit channel(kernel::event_loop &inLoop)
+            : client(inLoop)
+        { }
+
+        void cancelAll();
+
+        http::client client;
+        std::set<http::client::call_id> calls;
+    };
+
     template <typename Handler>
-    void call(http::call_request inRequest, Handler inHandler);
+    void call(channel &ioChannel, http::call_request inRequest, Handler inHandler);
 
-    http::client mClient;
     http::address mPlatform;
-    std::set<http::client::call_id> mCalls;
+    channel mReads;
+    channel mAppends;
 };
 
 static_assert(log_service<log_client>);
--- a/tests/unit/platform_log_client_test.cpp
+++ b/tests/unit/platform_log_client_test.cpp
@@ -195,3 +195,17 @@
     test.read();
     CHECK_FALSE(reported);
 }
+
+TEST_CASE("reads and appends do not share connections")
+{
+    // Else a read that follows a silent one could take up an append's idle connection that has gone
+    // silent as well, and miss its time limit twice.
+    fixture test;
+    for (int round = 0; round < 3; ++round) {
+        test.reply(200, "{\"first\":1,\"next\":7,\"records\":[]}");
+        CHECK(test.read().outcome == read_outcome::records);
+        test.reply(200, "{\"offset\":7}");
+        CHECK(test.append().outcome == append_outcome::appended);
+    }
+    CHECK(test.server.connectionCount() == 2);
+}
--- a/tests/unit/settings_sync_test.cpp
+++ b/tests/unit/settings_sync_test.cpp
@@ -325,6 +325,26 @@
     CHECK(reader.sync->dump().find("late: /adapters/tone is at version 1") != std::string::npos);
 }
 
+TEST_CASE("a log that ends before the tree does not confirm it")
+{
+    fleet test;
+    test.publish("1");
+    test.publish("2");
+    instance &reader = test.add();
+    test.waitFor([&] { return reader.confirmed.has_value(); });
+    // The new instance reads a log that was replaced by a shorter one. The first one passes no
+    // confirmation on after 2 s without the log.
+    reader.logReachable = false;
+    test.runFor(2'200ms);
+    test.log.records.resize(1);
+    instance &late = test.add();
+    test.waitFor([&] { return late.adapterVersion() == "2"; });
+    const auto before = late.confirmed;
+    test.runFor(100ms);
+    CHECK(late.adapterVersion() == "2");
+    CHECK(late.confirmed == before);
+}
+
 TEST_CASE("a read that was in flight during a pause is not waited for")
 {
     fleet test;
