--- a/corneltally/claims/claim_coordinator.h
+++ b/corneltally/claims/claim_coordinator.h
@@ -83,6 +83,7 @@
     void readFailed(core::time_point inNow);
 
     append_batcher &batcher() { return mBatcher; }
+    const append_batcher &batcher() const { return mBatcher; }
 
     actions poll(core::time_point inNow);
 
--- a/corneltally/entry/admission_messages.h
+++ b/corneltally/entry/admission_messages.h
@@ -32,12 +32,14 @@
     int retryAfterSeconds = 0;
 };
 
-/// Gives back what was charged at admission and not used.
+/// Gives back what was charged at admission and not used. Without the request's id nothing is given
+/// back, since the refund is limited by what happened to the bucket since that charge.
 struct settle
 {
     std::string account;
     double charged = 0;
     double used = 0;
+    std::string requestId;
 };
 
 /// A peer asks for part of this instance's share of an account (fleet-wide limit).
--- a/corneltally/entry/daemon.cpp
+++ b/corneltally/entry/daemon.cpp
@@ -1,8 +1,8 @@
 #include "corneltally/entry/daemon.h"
 
 #include "corneltally/core/json_log.h"
-#include "corneltally/entry/admission_messages.h"
-#include "corneltally/entry/claims_messages.h"
+#include "corneltally/entry/admission_service.h"
+#include "corneltally/entry/claims_service.h"
 #include "corneltally/entry/dispatch_service.h"
 #include "corneltally/entry/drain_messages.h"
 #include "corneltally/entry/drain_service.h"
@@ -41,18 +41,6 @@
 /// Services that this build lacks are answered for here.
 void substituteMissingServices(kernel::service_registry &ioRegistry)
 {
-    ioRegistry.handle<admit>("admission", [&ioRegistry](const admit &inAdmit) {
-        ioRegistry.post("front_end", admission_result{.requestId = inAdmit.requestId});
-    });
-    ioRegistry.handle<settle>("admission", [](const settle &) {});
-    ioRegistry.handle<claim_begin>("claims", [&ioRegistry](const claim_begin &inBegin) {
-        ioRegistry.post(
-            "front_end",
-            claim_result{.requestId = inBegin.requestId,
-                         .outcome = claim_outcome::refused,
-                         .error = {core::error_kind::unavailable, "idempotency keys are not served",
-                                   "send the request without a key"}});
-    });
     ioRegistry.handle<drain_started>("owner", [&ioRegistry](const drain_started &) {
         ioRegistry.post("drain", endpoints_drained{});
     });
@@ -91,6 +79,13 @@
             std::make_unique<platform::log_client>(mLoop,
                                                    http::parseAddress(inSettings.platformAddress)),
             settings_sync_options{.instance = inSettings.instanceName}));
+        mRegistry.add(
+            std::make_unique<admission_service>(mRegistry, inSettings.instanceName, mIncarnation));
+        mRegistry.add(std::make_unique<claims_service<platform::log_client>>(
+            mRegistry,
+            std::make_unique<platform::log_client>(mLoop,
+                                                   http::parseAddress(inSettings.platformAddress)),
+            inSettings.instanceName, mIncarnation));
         substituteMissingServices(mRegistry);
     }
 
--- a/corneltally/entry/front_end_service.cpp
+++ b/corneltally/entry/front_end_service.cpp
@@ -481,7 +481,8 @@
     if (ioRun.charged <= 0)
         return;
     mRegistry.post("admission",
-                   settle{ioRun.request().account, ioRun.charged, std::min(inUsed, ioRun.charged)});
+                   settle{ioRun.request().account, ioRun.charged, std::min(inUsed, ioRun.charged),
+                          ioRun.request().requestId});
     ioRun.charged = 0;
 }
 
