--- a/corneltally/entry/daemon.cpp
+++ b/corneltally/entry/daemon.cpp
@@ -1,8 +1,8 @@
 #include "corneltally/entry/daemon.h"
 
 #include "corneltally/core/json_log.h"
-#include "corneltally/entry/admission_messages.h"
-#include "corneltally/entry/claims_messages.h"
+#include "corneltally/entry/admission_service.h"
+#include "corneltally/entry/claims_service.h"
 #include "corneltally/entry/dispatch_service.h"
 #include "corneltally/entry/drain_messages.h"
 #include "corneltally/entry/drain_service.h"
@@ -47,31 +47,6 @@
             .maxConnections = static_cast<std::uint64_t>(inLimits.maxConnections)};
 }
 
-/// Services that this build lacks are answered for here.
-void substituteMissingServices(kernel::service_registry &ioRegistry)
-{
-    ioRegistry.handle<admit>("admission", [&ioRegistry](const admit &inAdmit) {
-        ioRegistry.post("front_end", admission_result{.requestId = inAdmit.requestId});
-    });
-    ioRegistry.handle<settle>("admission", [](const settle &) {});
-    ioRegistry.handle<weight_load_admit>(
-        "admission", [&ioRegistry](const weight_load_admit &inLoad) {
-            ioRegistry.post("owner",
-                            weight_load_result{.endpoint = inLoad.endpoint,
-                                               .adapter = inLoad.adapter,
-                                               .version = inLoad.version,
-                                               .granted = true});
-        });
-    ioRegistry.handle<claim_begin>("claims", [&ioRegistry](const claim_begin &inBegin) {
-        ioRegistry.post(
-            "front_end",
-            claim_result{.requestId = inBegin.requestId,
-                         .outcome = claim_outcome::refused,
-                         .error = {core::error_kind::unavailable, "idempotency keys are not served",
-                                   "send the request without a key"}});
-    });
-}
-
 /// The services of one entry instance.
 class daemon
 {
@@ -112,7 +87,13 @@
             owner_options{.instance = inSettings.instanceName,
                           .incarnation = mIncarnation,
                           .platform = http::parseAddress(inSettings.platformAddress)}));
-        substituteMissingServices(mRegistry);
+        mRegistry.add(
+            std::make_unique<admission_service>(mRegistry, inSettings.instanceName, mIncarnation));
+        mRegistry.add(std::make_unique<claims_service<platform::log_client>>(
+            mRegistry,
+            std::make_unique<platform::log_client>(mLoop,
+                                                   http::parseAddress(inSettings.platformAddress)),
+            inSettings.instanceName, mIncarnation));
     }
 
     bool listen()
