--- a/corneltally/endpoint/service_client.h
+++ b/corneltally/endpoint/service_client.h
@@ -21,6 +21,7 @@
     std::string contentType;
     std::string body;
     std::string requestId;
+    std::string account;
     /// Names the order at the service; empty without an idempotency key.
     std::string orderId;
     core::duration timeout{};
--- a/corneltally/entry/daemon.cpp
+++ b/corneltally/entry/daemon.cpp
@@ -39,6 +39,14 @@
         std::chrono::duration_cast<std::chrono::microseconds>(sinceEpoch).count());
 }
 
+http::server_limits callerLimits(const settings::process_limits &inLimits)
+{
+    return {.maxBodyBytes = static_cast<std::uint64_t>(inLimits.maxBodyBytes),
+            .requestTimeout = std::chrono::milliseconds(inLimits.requestTimeoutMs),
+            .idleTimeout = std::chrono::milliseconds(inLimits.idleTimeoutMs),
+            .maxConnections = static_cast<std::uint64_t>(inLimits.maxConnections)};
+}
+
 /// Services that this build lacks are answered for here.
 void substituteMissingServices(kernel::service_registry &ioRegistry)
 {
@@ -46,6 +54,14 @@
         ioRegistry.post("front_end", admission_result{.requestId = inAdmit.requestId});
     });
     ioRegistry.handle<settle>("admission", [](const settle &) {});
+    ioRegistry.handle<weight_load_admit>(
+        "admission", [&ioRegistry](const weight_load_admit &inLoad) {
+            ioRegistry.post("owner",
+                            weight_load_result{.endpoint = inLoad.endpoint,
+                                               .adapter = inLoad.adapter,
+                                               .version = inLoad.version,
+                                               .granted = true});
+        });
     ioRegistry.handle<claim_begin>("claims", [&ioRegistry](const claim_begin &inBegin) {
         ioRegistry.post(
             "front_end",
@@ -68,8 +84,9 @@
               front_end_options{.instance = inSettings.instanceName,
                                 .incarnation = mIncarnation,
                                 .listen = http::parseAddress(inSettings.callers),
-                                .maxConnections
-                                = static_cast<std::uint64_t>(inSettings.limits.maxConnections)})))
+                                .limits = callerLimits(inSettings.limits),
+                                .maxUnsentBytes
+                                = static_cast<std::size_t>(inSettings.limits.maxUnsentBytes)})))
         , mOperatorApi(mRegistry.add(
               std::make_unique<operator_api_service>(mRegistry, mMetrics, inSettings.instanceName,
                                                      http::parseAddress(inSettings.operators))))
@@ -88,7 +105,8 @@
             mRegistry,
             std::make_unique<platform::log_client>(mLoop,
                                                    http::parseAddress(inSettings.platformAddress)),
-            settings_sync_options{.instance = inSettings.instanceName}));
+            settings_sync_options{.instance = inSettings.instanceName,
+                                  .endpointAddresses = inSettings.endpointAddresses}));
         mRegistry.add(std::make_unique<owner_service>(
             mRegistry,
             owner_options{.instance = inSettings.instanceName,
