Let the demo fail when nothing is served, and pass endpoint addresses on

The first demo runs against the daemon without its owner service refused every completion and still ended with exit code 0, since refusals are no wrong answers.

--- a/corneltally/entry/daemon.cpp
+++ b/corneltally/entry/daemon.cpp
@@ -90,7 +90,8 @@
             mRegistry,
             std::make_unique<platform::log_client>(mLoop,
                                                    http::parseAddress(inSettings.platformAddress)),
-            settings_sync_options{.instance = inSettings.instanceName}));
+            settings_sync_options{.instance = inSettings.instanceName,
+                                  .endpointAddresses = inSettings.endpointAddresses}));
         substituteMissingServices(mRegistry);
     }
 
--- a/standins/demo_main.cpp
+++ b/standins/demo_main.cpp
@@ -28,6 +28,7 @@
                                        std::to_string(inOptions.callsPerSecond),
                                        "--seed",
                                        std::to_string(inOptions.seed),
+                                       "--require-completions",
                                        "--ledger",
                                        inFleet.fileIn("load.ledger")};
     for (const std::string &address : inFleet.callerAddresses()) {
--- a/standins/fleet.cpp
+++ b/standins/fleet.cpp
@@ -316,7 +316,7 @@
 {
     for (const std::string &name : inNames) {
         if (!process(name).waitReady(cStartLimit))
-            return fail(name + " did not become ready, see " + name + ".log");
+            return fail(name + " did not become ready, see its log");
     }
     return true;
 }
@@ -343,7 +343,7 @@
     for (const std::string &name : names("entry-")) {
         while (mProbe.get(process(name).port("operators"), "/readyz").status != 200) {
             if (!process(name).isRunning() || steady::now() > deadline)
-                return fail(name + " is not ready to serve, see " + name + ".log");
+                return fail(name + " is not ready to serve, see its log");
             std::this_thread::sleep_for(cPollInterval);
         }
     }
--- a/standins/load_main.cpp
+++ b/standins/load_main.cpp
@@ -19,6 +19,8 @@
     ioFlags.add("heavy-account", "account that sends a multiple of its share", heavyAccount);
     ioFlags.add("heavy-factor", "multiple that the heavy account sends", heavyFactor);
     ioFlags.add("attempts", "attempts of orders and idempotent calls", attempts);
+    ioFlags.add("require-completions", "fail if a kind of request completed no call",
+                requireCompletions);
     ioFlags.add("ledger", "file to which calls are appended as JSON lines", ledgerFile);
     ioFlags.add("application-ledger", "ledger from which double runs are counted (several)",
                 applicationLedgers);
@@ -42,5 +44,6 @@
     standins::load_generator generator(plan, options);
     const standins::load_report report = generator.run();
     std::fputs(report.toText(generator.seconds()).c_str(), stdout);
-    return report.wrongCount() == 0 ? 0 : 1;
+    const bool served = !options.requireCompletions || report.everyKindCompleted();
+    return report.wrongCount() == 0 && served ? 0 : 1;
 }
--- a/standins/load_options.h
+++ b/standins/load_options.h
@@ -27,6 +27,8 @@
     double heavyFactor = 1;
     /// Attempts for orders and idempotent calls.
     long long attempts = 5;
+    /// Fails if a kind of request completed no call.
+    bool requireCompletions = false;
     std::string ledgerFile;
     /// Ledgers of application services, from which double runs are counted.
     std::vector<std::string> applicationLedgers;
--- a/standins/load_report.cpp
+++ b/standins/load_report.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <cstdio>
 
 namespace standins {
@@ -59,12 +60,17 @@
     return count;
 }
 
+bool load_report::everyKindCompleted() const
+{
+    return std::ranges::all_of(mRows, [](const auto &inRow) { return inRow.second.completed > 0; });
+}
+
 double load_report::sQuantile(std::vector<double> inValues, double inFraction)
 {
     if (inValues.empty())
         return 0;
-    const auto index
-        = static_cast<std::size_t>(inFraction * static_cast<double>(inValues.size() - 1) + 0.5);
+    const auto index = static_cast<std::size_t>(
+        std::lround(inFraction * static_cast<double>(inValues.size() - 1)));
     std::ranges::nth_element(inValues, inValues.begin() + static_cast<std::ptrdiff_t>(index));
     return inValues[index];
 }
--- a/standins/load_report.h
+++ b/standins/load_report.h
@@ -20,7 +20,9 @@
 
     /// The table; rows are ordered by name. Rates refer to the given time.
     std::string toText(double inSeconds) const;
+    /// Wrong answers and double runs.
     std::size_t wrongCount() const;
+    bool everyKindCompleted() const;
 
 private:
     struct row
--- a/tests/integration/standins_fleet_test.cpp
+++ b/tests/integration/standins_fleet_test.cpp
@@ -16,14 +16,13 @@
 #include <catch2/catch.hpp>
 
 using nlohmann::json;
-namespace http = corneltally::http;
 using namespace std::chrono_literals;
 
 namespace {
 
 std::string folderFor(const std::string &inTest)
 {
-    const std::string folder = std::string(CORNELTALLY_BINARY_DIR) + "/fleet_test/" + inTest;
+    std::string folder = std::string(CORNELTALLY_BINARY_DIR) + "/fleet_test/" + inTest;
     std::filesystem::remove_all(folder);
     return folder;
 }
