--- a/corneltally/entry/daemon.cpp
+++ b/corneltally/entry/daemon.cpp
@@ -9,6 +9,7 @@
 #include "corneltally/entry/front_end_service.h"
 #include "corneltally/entry/metrics.h"
 #include "corneltally/entry/operator_api_service.h"
+#include "corneltally/entry/owner_service.h"
 #include "corneltally/entry/peers_service.h"
 #include "corneltally/entry/settings_sync_service.h"
 #include "corneltally/kernel/event_loop.h"
@@ -38,6 +39,14 @@
         std::chrono::duration_cast<std::chrono::microseconds>(sinceEpoch).count());
 }
 
+http::server_limits callerLimits(const settings::process_limits &inLimits)
+{
+    return {.maxBodyBytes = static_cast<std::uint64_t>(inLimits.maxBodyBytes),
+            .requestTimeout = std::chrono::milliseconds(inLimits.requestTimeoutMs),
+            .idleTimeout = std::chrono::milliseconds(inLimits.idleTimeoutMs),
+            .maxConnections = static_cast<std::uint64_t>(inLimits.maxConnections)};
+}
+
 /// Services that this build lacks are answered for here.
 void substituteMissingServices(kernel::service_registry &ioRegistry)
 {
@@ -45,6 +54,14 @@
         ioRegistry.post("front_end", admission_result{.requestId = inAdmit.requestId});
     });
     ioRegistry.handle<settle>("admission", [](const settle &) {});
+    ioRegistry.handle<weight_load_admit>(
+        "admission", [&ioRegistry](const weight_load_admit &inLoad) {
+            ioRegistry.post("owner",
+                            weight_load_result{.endpoint = inLoad.endpoint,
+                                               .adapter = inLoad.adapter,
+                                               .version = inLoad.version,
+                                               .granted = true});
+        });
     ioRegistry.handle<claim_begin>("claims", [&ioRegistry](const claim_begin &inBegin) {
         ioRegistry.post(
             "front_end",
@@ -53,9 +70,6 @@
                          .error = {core::error_kind::unavailable, "idempotency keys are not served",
                                    "send the request without a key"}});
     });
-    ioRegistry.handle<drain_started>("owner", [&ioRegistry](const drain_started &) {
-        ioRegistry.post("drain", endpoints_drained{});
-    });
 }
 
 /// The services of one entry instance.
@@ -70,8 +84,9 @@
               front_end_options{.instance = inSettings.instanceName,
                                 .incarnation = mIncarnation,
                                 .listen = http::parseAddress(inSettings.callers),
-                                .maxConnections
-                                = static_cast<std::uint64_t>(inSettings.limits.maxConnections)})))
+                                .limits = callerLimits(inSettings.limits),
+                                .maxUnsentBytes
+                                = static_cast<std::size_t>(inSettings.limits.maxUnsentBytes)})))
         , mOperatorApi(mRegistry.add(
               std::make_unique<operator_api_service>(mRegistry, mMetrics, inSettings.instanceName,
                                                      http::parseAddress(inSettings.operators))))
@@ -92,6 +107,11 @@
                                                    http::parseAddress(inSettings.platformAddress)),
             settings_sync_options{.instance = inSettings.instanceName,
                                   .endpointAddresses = inSettings.endpointAddresses}));
+        mRegistry.add(std::make_unique<owner_service>(
+            mRegistry,
+            owner_options{.instance = inSettings.instanceName,
+                          .incarnation = mIncarnation,
+                          .platform = http::parseAddress(inSettings.platformAddress)}));
         substituteMissingServices(mRegistry);
     }
 
