--- a/corneltally/entry/dispatch_service.cpp
+++ b/corneltally/entry/dispatch_service.cpp
@@ -21,8 +21,10 @@
 /// endpoints over within 3 s.
 constexpr core::duration cEndpointWait = 5s;
 constexpr core::duration cEndpointPoll = 50ms;
-/// Owners that may refuse a run that has to be continued, before it is given up.
-constexpr int cMaxResumptions = 8;
+/// Refusals to continue a stream before it is given up. With their delays they span the time in
+/// which a draining owner, which continues no streams, hands its endpoint over.
+constexpr int cMaxResumptions = 20;
+constexpr core::duration cResumeDelayLimit = 1s;
 constexpr core::duration cPrunePeriod = 5s;
 /// A call to a service that may be repeated gets this part of the remaining time, so that a
 /// connection that went silent leaves time for another attempt.
@@ -296,7 +298,7 @@
         // The instance does not own the endpoint (any more); the stream itself still exists.
         ++ioRun.resumptions;
         ioRun.owner.clear();
-        ioRun.nextAttempt = now + cEndpointPoll;
+        ioRun.nextAttempt = now + std::min(cEndpointPoll * ioRun.resumptions, cResumeDelayLimit);
         return;
     }
     if (partReached && inEnd.outcome == run_outcome::not_run)
