--- a/corneltally/http/client.cpp
+++ b/corneltally/http/client.cpp
@@ -243,7 +243,10 @@
 
 void client::cancel(call_id inCall)
 {
-    mImplementation->takeAndClose(inCall);
+    // The call may be cancelled from inside one of its own events, whose captures must outlive it.
+    std::shared_ptr<implementation::running_call> call = mImplementation->takeAndClose(inCall);
+    if (call)
+        mImplementation->loop.post([keep = std::move(call)] {});
 }
 
 client::call_id fetch(client &inClient, call_request inRequest,
