--- a/tests/unit/settings_replica_test.cpp
+++ b/tests/unit/settings_replica_test.cpp
@@ -257,6 +257,14 @@
     for (const std::string &record : whole.snapshotRecords())
         late.addPeerSnapshot(record);
     CHECK_FALSE(late.recordsAfter(10, 1'000).has_value());
+    // Records from before the adopted tree would leave out what lies between.
+    settings_replica behind;
+    for (std::uint64_t offset = 1; offset <= 5; ++offset)
+        behind.addLogRecord(offset, log.entries[offset - 1].data, 0);
+    for (const std::string &record : whole.snapshotRecords())
+        behind.addPeerSnapshot(record);
+    CHECK(behind.nextOffset() == 61);
+    CHECK_FALSE(behind.recordsAfter(2, 1'000'000).has_value());
 }
 
 TEST_CASE("large snapshots are split, and parts of different writers can be combined")
@@ -290,6 +298,12 @@
     CHECK_FALSE(late.hasGap());
     CHECK(late.tree().toJson() == whole.tree().toJson());
     CHECK(late.nextOffset() == offset);
+    // A snapshot of which one part expired is of no use: a new one is due at once.
+    const std::uint64_t oldestPart = offset - records.size();
+    late.noteLogStart(oldestPart, 0);
+    CHECK_FALSE(late.snapshotDue(0, 0));
+    late.noteLogStart(oldestPart + 1, 0);
+    CHECK(late.snapshotDue(0, 0));
 }
 
 TEST_CASE("a change that is too long for a message is rejected by log readers and peers alike")
@@ -323,7 +337,10 @@
     log.readInto(whole);
     auto part = snapshot_part::sFromRecord(whole.snapshotRecords().at(0));
     REQUIRE(part.has_value());
-    part->data[part->data.size() / 2] ^= 1;
+    // The damaged tree is well-formed and valid.
+    const std::size_t at = part->data.find("\"base\"");
+    REQUIRE(at != std::string::npos);
+    part->data.replace(at, 6, "\"bass\"");
     settings_replica late;
     late.addPeerSnapshot(part->toRecord());
     late.addPeerSnapshot("{\"snapshot\":{}}");
@@ -362,6 +379,16 @@
     CHECK(reader.snapshotDue(half + half, 0));
 }
 
+TEST_CASE("a replica with a gap writes no snapshot")
+{
+    settings_replica reader;
+    reader.addLogRecord(1, setVersion(reader.tree(), "c0", "tone", "1").toJson(), 0);
+    REQUIRE(reader.snapshotDue(1'000 * cHour, 0));
+    reader.addPeerRecord(9, "later");
+    REQUIRE(reader.hasGap());
+    CHECK_FALSE(reader.snapshotDue(1'000 * cHour, 0));
+}
+
 TEST_CASE("a shorter retention than configured is learned from records that expire")
 {
     test_log log;
--- a/tests/unit/settings_tree_test.cpp
+++ b/tests/unit/settings_tree_test.cpp
@@ -351,6 +351,7 @@
             "is also set at");
     refused({{"/routes/orders", "endpoints", std::vector<std::string>{"none"}}}, "is not in");
     refused({{"/routes/orders", "endpoints", std::vector<std::string>{"engine-1"}}}, "kind");
+    refused({{"/routes", "endpoints", std::vector<std::string>{"none"}}}, "is not in");
     refused({{"/", "claim_window_s", std::int64_t(100'000)}}, "3/4");
     refused({{"/bad path", "x", true}}, "not a path");
     refused({{"/accounts/" + std::string(65, 'x'), "weight", 1.0}}, "not a path");
