--- a/corneltally/entry/daemon.cpp
+++ b/corneltally/entry/daemon.cpp
@@ -1,14 +1,15 @@
 #include "corneltally/entry/daemon.h"
 
 #include "corneltally/core/json_log.h"
-#include "corneltally/entry/admission_messages.h"
-#include "corneltally/entry/claims_messages.h"
+#include "corneltally/entry/admission_service.h"
+#include "corneltally/entry/claims_service.h"
 #include "corneltally/entry/dispatch_service.h"
 #include "corneltally/entry/drain_messages.h"
 #include "corneltally/entry/drain_service.h"
 #include "corneltally/entry/front_end_service.h"
 #include "corneltally/entry/metrics.h"
 #include "corneltally/entry/operator_api_service.h"
+#include "corneltally/entry/owner_service.h"
 #include "corneltally/entry/peers_service.h"
 #include "corneltally/entry/settings_sync_service.h"
 #include "corneltally/kernel/event_loop.h"
@@ -46,26 +47,6 @@
             .maxConnections = static_cast<std::uint64_t>(inLimits.maxConnections)};
 }
 
-/// Services that this build lacks are answered for here.
-void substituteMissingServices(kernel::service_registry &ioRegistry)
-{
-    ioRegistry.handle<admit>("admission", [&ioRegistry](const admit &inAdmit) {
-        ioRegistry.post("front_end", admission_result{.requestId = inAdmit.requestId});
-    });
-    ioRegistry.handle<settle>("admission", [](const settle &) {});
-    ioRegistry.handle<claim_begin>("claims", [&ioRegistry](const claim_begin &inBegin) {
-        ioRegistry.post(
-            "front_end",
-            claim_result{.requestId = inBegin.requestId,
-                         .outcome = claim_outcome::refused,
-                         .error = {core::error_kind::unavailable, "idempotency keys are not served",
-                                   "send the request without a key"}});
-    });
-    ioRegistry.handle<drain_started>("owner", [&ioRegistry](const drain_started &) {
-        ioRegistry.post("drain", endpoints_drained{});
-    });
-}
-
 /// The services of one entry instance.
 class daemon
 {
@@ -101,7 +82,18 @@
                                                    http::parseAddress(inSettings.platformAddress)),
             settings_sync_options{.instance = inSettings.instanceName,
                                   .endpointAddresses = inSettings.endpointAddresses}));
-        substituteMissingServices(mRegistry);
+        mRegistry.add(std::make_unique<owner_service>(
+            mRegistry,
+            owner_options{.instance = inSettings.instanceName,
+                          .incarnation = mIncarnation,
+                          .platform = http::parseAddress(inSettings.platformAddress)}));
+        mRegistry.add(
+            std::make_unique<admission_service>(mRegistry, inSettings.instanceName, mIncarnation));
+        mRegistry.add(std::make_unique<claims_service<platform::log_client>>(
+            mRegistry,
+            std::make_unique<platform::log_client>(mLoop,
+                                                   http::parseAddress(inSettings.platformAddress)),
+            inSettings.instanceName, mIncarnation));
     }
 
     bool listen()
