--- a/corneltally/endpoint/service_client.cpp
+++ b/corneltally/endpoint/service_client.cpp
@@ -19,6 +19,8 @@
 {
     // Headers are built from scratch: nothing that the caller sent as a header is passed on.
     http::header_list headers{{"X-Request-Id", inCall.requestId}};
+    if (!inCall.account.empty())
+        headers.emplace_back("X-Account", std::move(inCall.account));
     if (!inCall.contentType.empty())
         headers.emplace_back("Content-Type", std::move(inCall.contentType));
     if (!inCall.orderId.empty())
--- a/corneltally/entry/daemon.cpp
+++ b/corneltally/entry/daemon.cpp
@@ -4,11 +4,11 @@
 #include "corneltally/entry/admission_service.h"
 #include "corneltally/entry/claims_service.h"
 #include "corneltally/entry/dispatch_service.h"
-#include "corneltally/entry/drain_messages.h"
 #include "corneltally/entry/drain_service.h"
 #include "corneltally/entry/front_end_service.h"
 #include "corneltally/entry/metrics.h"
 #include "corneltally/entry/operator_api_service.h"
+#include "corneltally/entry/owner_service.h"
 #include "corneltally/entry/peers_service.h"
 #include "corneltally/entry/settings_sync_service.h"
 #include "corneltally/kernel/event_loop.h"
@@ -38,12 +38,12 @@
         std::chrono::duration_cast<std::chrono::microseconds>(sinceEpoch).count());
 }
 
-/// Services that this build lacks are answered for here.
-void substituteMissingServices(kernel::service_registry &ioRegistry)
+http::server_limits callerLimits(const settings::process_limits &inLimits)
 {
-    ioRegistry.handle<drain_started>("owner", [&ioRegistry](const drain_started &) {
-        ioRegistry.post("drain", endpoints_drained{});
-    });
+    return {.maxBodyBytes = static_cast<std::uint64_t>(inLimits.maxBodyBytes),
+            .requestTimeout = std::chrono::milliseconds(inLimits.requestTimeoutMs),
+            .idleTimeout = std::chrono::milliseconds(inLimits.idleTimeoutMs),
+            .maxConnections = static_cast<std::uint64_t>(inLimits.maxConnections)};
 }
 
 /// The services of one entry instance.
@@ -58,8 +58,9 @@
               front_end_options{.instance = inSettings.instanceName,
                                 .incarnation = mIncarnation,
                                 .listen = http::parseAddress(inSettings.callers),
-                                .maxConnections
-                                = static_cast<std::uint64_t>(inSettings.limits.maxConnections)})))
+                                .limits = callerLimits(inSettings.limits),
+                                .maxUnsentBytes
+                                = static_cast<std::size_t>(inSettings.limits.maxUnsentBytes)})))
         , mOperatorApi(mRegistry.add(
               std::make_unique<operator_api_service>(mRegistry, mMetrics, inSettings.instanceName,
                                                      http::parseAddress(inSettings.operators))))
@@ -78,7 +79,8 @@
             mRegistry,
             std::make_unique<platform::log_client>(mLoop,
                                                    http::parseAddress(inSettings.platformAddress)),
-            settings_sync_options{.instance = inSettings.instanceName}));
+            settings_sync_options{.instance = inSettings.instanceName,
+                                  .endpointAddresses = inSettings.endpointAddresses}));
         mRegistry.add(
             std::make_unique<admission_service>(mRegistry, inSettings.instanceName, mIncarnation));
         mRegistry.add(std::make_unique<claims_service<platform::log_client>>(
@@ -86,7 +88,11 @@
             std::make_unique<platform::log_client>(mLoop,
                                                    http::parseAddress(inSettings.platformAddress)),
             inSettings.instanceName, mIncarnation));
-        substituteMissingServices(mRegistry);
+        mRegistry.add(std::make_unique<owner_service>(
+            mRegistry,
+            owner_options{.instance = inSettings.instanceName,
+                          .incarnation = mIncarnation,
+                          .platform = http::parseAddress(inSettings.platformAddress)}));
     }
 
     bool listen()
