--- a/corneltally/entry/daemon.cpp
+++ b/corneltally/entry/daemon.cpp
@@ -4,6 +4,7 @@
 #include "corneltally/entry/admission_service.h"
 #include "corneltally/entry/claims_service.h"
 #include "corneltally/entry/dispatch_service.h"
+#include "corneltally/entry/drain_messages.h"
 #include "corneltally/entry/drain_service.h"
 #include "corneltally/entry/front_end_service.h"
 #include "corneltally/entry/metrics.h"
@@ -81,6 +82,11 @@
                                                    http::parseAddress(inSettings.platformAddress)),
             settings_sync_options{.instance = inSettings.instanceName,
                                   .endpointAddresses = inSettings.endpointAddresses}));
+        mRegistry.add(std::make_unique<owner_service>(
+            mRegistry,
+            owner_options{.instance = inSettings.instanceName,
+                          .incarnation = mIncarnation,
+                          .platform = http::parseAddress(inSettings.platformAddress)}));
         mRegistry.add(
             std::make_unique<admission_service>(mRegistry, inSettings.instanceName, mIncarnation));
         mRegistry.add(std::make_unique<claims_service<platform::log_client>>(
@@ -88,11 +94,6 @@
             std::make_unique<platform::log_client>(mLoop,
                                                    http::parseAddress(inSettings.platformAddress)),
             inSettings.instanceName, mIncarnation));
-        mRegistry.add(std::make_unique<owner_service>(
-            mRegistry,
-            owner_options{.instance = inSettings.instanceName,
-                          .incarnation = mIncarnation,
-                          .platform = http::parseAddress(inSettings.platformAddress)}));
     }
 
     bool listen()
--- a/corneltally/entry/settings_sync_service.h
+++ b/corneltally/entry/settings_sync_service.h
@@ -69,6 +69,8 @@
     bool mLogEndSeen = false;
     core::duration mRetryDelay;
     std::optional<std::uint64_t> mPublished;
+    /// The catalog in force; the next one shares what does not change.
+    std::shared_ptr<const settings::catalog> mCatalog;
     std::optional<core::time_point> mConfirmed;
     /// When the log itself last confirmed the tree.
     std::optional<core::time_point> mLogConfirmed;
@@ -201,6 +203,9 @@
         return;
     }
     publish();
+    // A log that ends before what the tree covers does not confirm the tree.
+    if (inResult.next < mReplica.nextOffset())
+        return;
     mLogConfirmed = inResult.sentAt;
     confirm(inResult.sentAt);
 }
@@ -340,8 +345,9 @@
         return;
     mPublished = tree.version();
     core::logEvent(core::log_level::info, "settings_in_force", {{"version", tree.version()}});
-    mRegistry.broadcast(catalog_changed{
-        std::make_shared<const settings::catalog>(tree, mOptions.endpointAddresses)});
+    mCatalog = std::make_shared<const settings::catalog>(tree, mOptions.endpointAddresses,
+                                                         mCatalog.get());
+    mRegistry.broadcast(catalog_changed{mCatalog});
 }
 
 template <platform::log_service Log>
