--- a/standins/answer_verifier.cpp
+++ b/standins/answer_verifier.cpp
@@ -177,6 +177,8 @@
     if (!inError.is_object())
         return;
     mRun = inError.value("run", std::string());
+    mError = inError.value("type", std::string());
+    mError.append(": ").append(inError.value("message", std::string()));
     if (mRequestId.empty())
         mRequestId = inError.value("request_id", std::string());
 }
--- a/standins/answer_verifier.h
+++ b/standins/answer_verifier.h
@@ -30,6 +30,8 @@
 
     /// From an error answer: "not_run", "unknown", or empty.
     const std::string &run() const { return mRun; }
+    /// Type and message of an error answer.
+    const std::string &error() const { return mError; }
     const std::string &requestId() const { return mRequestId; }
     /// Runs of the order that the application reports.
     long long reportedRuns() const { return mReportedRuns; }
@@ -55,6 +57,7 @@
     bool mComplete = false;
     std::string mProblem;
     std::string mRun;
+    std::string mError;
     long long mReportedRuns = 0;
 };
 
--- a/standins/demo_main.cpp
+++ b/standins/demo_main.cpp
@@ -15,6 +15,7 @@
     double seconds = 20;
     double callsPerSecond = 20;
     long long seed = 1;
+    double heavyFactor = 1;
 };
 
 std::vector<std::string> loadArguments(const standins::fleet &inFleet,
@@ -28,6 +29,10 @@
                                        std::to_string(inOptions.callsPerSecond),
                                        "--seed",
                                        std::to_string(inOptions.seed),
+                                       "--heavy-account",
+                                       inFleet.plan().accounts().front().name,
+                                       "--heavy-factor",
+                                       std::to_string(inOptions.heavyFactor),
                                        "--require-completions",
                                        "--ledger",
                                        inFleet.fileIn("load.ledger")};
@@ -100,6 +105,8 @@
     flags.add("workload", "strengvegur or persatuan (several); both by default", options.workloads);
     flags.add("seconds", "time over which calls arrive, per workload", options.seconds);
     flags.add("calls-per-second", "arrivals", options.callsPerSecond);
+    flags.add("heavy-factor", "multiple of its share that the largest account sends",
+              options.heavyFactor);
     flags.add("seed", "seed of the calls", options.seed);
     if (!flags.parse(inCount, inArguments))
         return 2;
--- a/standins/load_generator.cpp
+++ b/standins/load_generator.cpp
@@ -197,6 +197,7 @@
                    {"status", inCall.verifier->status()},
                    {"outcome", toString(inResult)},
                    {"run", inCall.verifier->run()},
+                   {"error", inCall.verifier->error()},
                    {"tokens", inCall.verifier->tokens()},
                    {"problem", inCall.verifier->problem()}});
 }
