--- a/standins/log_service.cpp
+++ b/standins/log_service.cpp
@@ -117,9 +117,8 @@
 {
     stream &source = streamOf(inStream);
     source.store.expire(core::boot_clock::now());
-    // Offsets start at 1; a read from 0 means from the start.
-    const auto from
-        = std::max<std::uint64_t>(1, number<std::uint64_t>(inExchange->query("from"), 0));
+    // Offsets start at 1, so that a read from 0 learns where the stream begins.
+    const auto from = number<std::uint64_t>(inExchange->query("from"), 0);
     const auto limit
         = std::clamp<std::size_t>(number(inExchange->query("limit"), cDefaultLimit), 1, cMaxLimit);
     const auto waitMs = std::min(number(inExchange->query("wait_ms"), 0LL), cMaxWaitMs);
--- a/tests/integration/standins_platform_test.cpp
+++ b/tests/integration/standins_platform_test.cpp
@@ -87,6 +87,11 @@
     CHECK(answer.status == 410);
     CHECK(json::parse(answer.body).at("first") == 3);
     CHECK(json::parse(platform.read("?from=3").body).at("records").size() == 3);
+    // Readers that start without a position ask from 0, also of an empty stream.
+    platform_process empty;
+    const http::response start = empty.read("?from=0&wait_ms=1000");
+    CHECK(start.status == 410);
+    CHECK(json::parse(start.body).at("first") == 1);
 }
 
 TEST_CASE("a long poll is answered by the append that it waits for, or empty at its end")
