Count an empty claims stream that begins after offset 0 as read

Cause: with the platform stand-in, whose streams begin at offset 1, an empty claims stream was read in a loop without pauses and every keyed order was refused with 503 (seen with three real instances for 12 s; the unit tests begin at offset 0).

Change: the coordinator takes the next offset of an empty page as its position. A unit test covers it, and an integration test sends one order to three instances at once.

--- a/corneltally/claims/claim_coordinator.cpp
+++ b/corneltally/claims/claim_coordinator.cpp
@@ -104,6 +104,9 @@
         for (std::size_t index = 0; index < effects.size(); ++index)
             applyRecord(batch->records[index], effects[index], inNow);
     }
+    // A stream may begin at a later offset than the one that was asked for, also an empty stream.
+    if (inRecords.empty())
+        mPosition = std::max(mPosition, inNext);
     mLatestReadAt = inNow;
     mCaughtUp = mCaughtUp || mPosition >= *mStartEnd;
     if (mPosition >= inNext)
--- a/tests/integration/datapath_test.cpp
+++ b/tests/integration/datapath_test.cpp
@@ -241,6 +241,29 @@
     CHECK(test.complete(drainOwner ? origin : owner).status == 200);
 }
 
+TEST_CASE("an order that is sent to all instances at once under one key runs once")
+{
+    running_fleet test;
+    std::vector<http::response> answers(6);
+    {
+        std::vector<std::jthread> callers;
+        for (std::size_t index = 0; index < answers.size(); ++index) {
+            const std::string name = "entry-" + std::to_string(index % 3 + 1);
+            callers.emplace_back([&, index, port = test.port(name, "callers")] {
+                standins::http_probe probe;
+                http::header_list headers = test.headers();
+                headers.emplace_back("Idempotency-Key", "key-1");
+                answers[index] = probe.post(port, "/orders", R"({"order":"o-1"})", headers);
+            });
+        }
+    }
+    for (const http::response &answer : answers) {
+        CHECK(answer.status == 200);
+        CHECK(answer.body == answers.front().body);
+        CHECK(json::parse(answer.body, nullptr, false).value("runs", 0) == 1);
+    }
+}
+
 TEST_CASE("a withdrawn key stops working within three seconds, also for a running stream")
 {
     running_fleet test;
--- a/tests/unit/claims_claim_coordinator_test.cpp
+++ b/tests/unit/claims_claim_coordinator_test.cpp
@@ -95,6 +95,16 @@
     CHECK(one.results["r1"].claimId == batch->records.front().claimId);
 }
 
+TEST_CASE("an empty stream that begins after offset 0 counts as read")
+{
+    claim_coordinator claims{"entry-1", 7, 1h};
+    claims.pageRead({}, 1, cStart, cStart);
+    CHECK(claims.isCaughtUp());
+    CHECK(claims.position() == 1);
+    claims.begin("r1", "k", "d1", cStart + 10s, cStart);
+    CHECK(claims.poll(cStart + 20ms).append.has_value());
+}
+
 TEST_CASE("a repeat gets the answer, and a different request a conflict")
 {
     single one;
