Follow the platform's list of leaving endpoints

Cause: an endpoint that only the platform's list reports as leaving went on getting work, since nothing read the list.

Change: instance_list_client and instance_list_service poll the list every 500 ms, and settings_sync marks the endpoints in the catalog, so that dispatch and owners treat them like those of the tree.

--- a/corneltally/entry/daemon.cpp
+++ b/corneltally/entry/daemon.cpp
@@ -6,6 +6,7 @@
 #include "corneltally/entry/dispatch_service.h"
 #include "corneltally/entry/drain_service.h"
 #include "corneltally/entry/front_end_service.h"
+#include "corneltally/entry/instance_list_service.h"
 #include "corneltally/entry/metrics.h"
 #include "corneltally/entry/operator_api_service.h"
 #include "corneltally/entry/owner_service.h"
@@ -81,6 +82,8 @@
                                                    http::parseAddress(inSettings.platformAddress)),
             settings_sync_options{.instance = inSettings.instanceName,
                                   .endpointAddresses = inSettings.endpointAddresses}));
+        mRegistry.add(std::make_unique<instance_list_service>(
+            mRegistry, http::parseAddress(inSettings.platformAddress)));
         mRegistry.add(std::make_unique<owner_service>(
             mRegistry,
             owner_options{.instance = inSettings.instanceName,
--- a/corneltally/entry/endpoint_directory.cpp
+++ b/corneltally/entry/endpoint_directory.cpp
@@ -71,11 +71,6 @@
     return mCatalog ? mCatalog->findEndpoint(inEndpoint) : nullptr;
 }
 
-bool endpoint_directory::takesWork(const settings::endpoint_view &inEndpoint) const
-{
-    return !inEndpoint.leaving && !mLeaving.contains(inEndpoint.name);
-}
-
 std::string endpoint_directory::failureDomain() const
 {
     const settings::instance_view *self = mCatalog->findInstance(mInstance);
@@ -95,7 +90,7 @@
     for (const auto &[name, view] : mCatalog->endpoints()) {
         const auto known = mEntries.find(name);
         if (view.kind != settings::endpoint_kind::model || view.baseModel != inRun.baseModel
-            || !takesWork(view) || inExcluded.contains(name) || known == mEntries.end()
+            || view.leaving || inExcluded.contains(name) || known == mEntries.end()
             || !known->second.status)
             continue;
         const endpoint_status &status = *known->second.status;
@@ -135,7 +130,7 @@
     const settings::route_view *route = mCatalog->findRoute(inRun.path);
     std::vector<service_option> options;
     for (const auto &[name, view] : mCatalog->endpoints()) {
-        if (view.kind != settings::endpoint_kind::service || !takesWork(view))
+        if (view.kind != settings::endpoint_kind::service || view.leaving)
             continue;
         if (route != nullptr && !route->endpoints.empty()
             && std::ranges::find(route->endpoints, name) == route->endpoints.end())
--- a/corneltally/entry/endpoint_directory.h
+++ b/corneltally/entry/endpoint_directory.h
@@ -34,8 +34,6 @@
     void setInstances(name_set inLive, name_set inDraining);
     /// Whether messages reach an instance, which may be live but not connected for a while.
     void setConnected(const std::string &inInstance, bool inConnected);
-    /// Endpoints that the platform reports as leaving.
-    void setLeaving(name_set inLeaving) { mLeaving = std::move(inLeaving); }
     void takeStatus(const endpoint_status &inStatus, core::time_point inNow);
 
     /// Whether an instance can still finish runs.
@@ -72,7 +70,6 @@
 
     void ended(const run &inRun, entry &ioEntry, core::time_point inNow);
     bool isConnected(std::string_view inInstance) const;
-    bool takesWork(const settings::endpoint_view &inEndpoint) const;
     std::string failureDomain() const;
 
     std::string mInstance;
@@ -80,7 +77,6 @@
     name_set mLive;
     name_set mDraining;
     name_set mDisconnected;
-    name_set mLeaving;
     std::map<std::string, entry, std::less<>> mEntries;
     scheduling::placement mPlacement;
     scheduling::route_choice mChoice;
--- /dev/null
+++ b/corneltally/entry/instance_list_service.cpp
@@ -0,0 +1,52 @@
+#include "corneltally/entry/instance_list_service.h"
+
+#include "corneltally/kernel/service_registry.h"
+
+#include <utility>
+
+namespace corneltally::entry {
+
+namespace {
+
+/// The platform's list lags by itself; work for a leaving endpoint has to end within 3 s.
+constexpr core::duration cPeriod = std::chrono::milliseconds(500);
+
+} // namespace
+
+instance_list_service::instance_list_service(kernel::service_registry &inRegistry,
+                                             http::address inPlatform)
+    : mRegistry(inRegistry)
+    , mClient(inRegistry.loop(), std::move(inPlatform))
+    , mTimer(inRegistry.loop(), [this] { poll(); })
+{ }
+
+void instance_list_service::start()
+{
+    poll();
+}
+
+void instance_list_service::poll()
+{
+    mClient.readLeaving([this](const auto &inLeaving) {
+        take(inLeaving);
+        mTimer.startOnce(cPeriod);
+    });
+}
+
+void instance_list_service::take(
+    const core::result<platform::instance_list_client::name_set> &inLeaving)
+{
+    mReadable = inLeaving.hasValue();
+    if (!mReadable || *inLeaving == mLeaving)
+        return;
+    mLeaving = *inLeaving;
+    mRegistry.broadcast(endpoints_leaving{mLeaving});
+}
+
+std::string instance_list_service::dump() const
+{
+    return "{\"readable\":" + std::string(mReadable ? "true" : "false")
+        + ",\"leaving\":" + std::to_string(mLeaving.size()) + "}";
+}
+
+} // namespace corneltally::entry
--- a/corneltally/entry/settings_messages.h
+++ b/corneltally/entry/settings_messages.h
@@ -2,7 +2,10 @@
 
 #include "corneltally/core/boot_clock.h"
 
+#include <functional>
 #include <memory>
+#include <set>
+#include <string>
 
 namespace corneltally::settings {
 class catalog;
@@ -17,6 +20,13 @@
     std::shared_ptr<const settings::catalog> catalog;
 };
 
+/// Processes that the platform reports as leaving. The settings_sync service marks the endpoints
+/// among them as leaving in the catalog.
+struct endpoints_leaving
+{
+    std::set<std::string, std::less<>> names;
+};
+
 /// The tree was confirmed to be current by the log or by a peer that reads the log.
 struct settings_confirmed
 {
--- a/corneltally/entry/settings_sync_service.h
+++ b/corneltally/entry/settings_sync_service.h
@@ -19,6 +19,7 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -54,6 +55,7 @@
     void askPeer(const std::string &inInstance);
     void report(const verdicts &inVerdicts);
     void publish();
+    void announce();
     void confirm(core::time_point inAt);
     void checkSnapshot();
     void appendSnapshot();
@@ -75,6 +77,7 @@
     /// When the log itself last confirmed the tree.
     std::optional<core::time_point> mLogConfirmed;
     std::vector<std::string> mLive;
+    std::set<std::string, std::less<>> mLeaving;
     std::vector<std::string> mSnapshotParts;
     std::optional<core::time_point> mSnapshotHold;
     std::uint64_t mAccepted = 0;
@@ -128,6 +131,10 @@
         if (inPeer.version > mReplica.tree().version())
             askPeer(inPeer.instance);
     });
+    mRegistry.handle<endpoints_leaving>(name(), [this](const endpoints_leaving &inLeaving) {
+        mLeaving = inLeaving.names;
+        announce();
+    });
     mRegistry.handle<peers_changed>(
         name(), [this](const peers_changed &inChange) { mLive = inChange.live; });
     mRegistry.handle<paused>(name(), [this](const paused &) {
@@ -347,7 +354,18 @@
     core::logEvent(core::log_level::info, "settings_in_force", {{"version", tree.version()}});
     mCatalog = std::make_shared<const settings::catalog>(tree, mOptions.endpointAddresses,
                                                          mCatalog.get());
-    mRegistry.broadcast(catalog_changed{mCatalog});
+    announce();
+}
+
+template <platform::log_service Log>
+void settings_sync_service<Log>::announce()
+{
+    if (!mCatalog)
+        return;
+    mRegistry.broadcast(catalog_changed{
+        mLeaving.empty()
+            ? mCatalog
+            : std::make_shared<const settings::catalog>(mCatalog->withLeaving(mLeaving))});
 }
 
 template <platform::log_service Log>
--- a/corneltally/settings/catalog.cpp
+++ b/corneltally/settings/catalog.cpp
@@ -180,6 +180,16 @@
     : mKeysByDigest(std::make_shared<const name_index<key_view>>())
 { }
 
+catalog catalog::withLeaving(const std::set<std::string, std::less<>> &inNames) const
+{
+    catalog copy = *this;
+    auto endpoints = std::make_shared<ordered_index<endpoint_view>>(*mEndpoints.entries);
+    for (auto &[name, view] : *endpoints)
+        view.leaving = view.leaving || inNames.contains(name);
+    copy.mEndpoints.entries = std::move(endpoints);
+    return copy;
+}
+
 catalog::catalog(const settings_tree &inTree, const address_map &inEndpointAddresses,
                  const catalog *inPrevious)
     : catalog()
--- a/corneltally/settings/catalog.h
+++ b/corneltally/settings/catalog.h
@@ -12,6 +12,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -36,6 +37,9 @@
     explicit catalog(const settings_tree &inTree, const address_map &inEndpointAddresses = {},
                      const catalog *inPrevious = nullptr);
 
+    /// A copy in which the endpoints among these names are leaving.
+    catalog withLeaving(const std::set<std::string, std::less<>> &inNames) const;
+
     /// Offset of the last log record in the tree.
     std::uint64_t version() const { return mVersion; }
 
--- a/tests/integration/datapath_test.cpp
+++ b/tests/integration/datapath_test.cpp
@@ -284,3 +284,21 @@
         CHECK(test.waitFor([&] { return test.complete(name).status == 401; }));
     CHECK(std::chrono::steady_clock::now() - start < 3s);
 }
+
+TEST_CASE("an endpoint that the platform lists as leaving gets no new work after three seconds")
+{
+    running_fleet test;
+    const auto start = std::chrono::steady_clock::now();
+    const json list{{"instances", {{{"name", "engine-1"}, {"state", "leaving"}}}}};
+    REQUIRE(test.probe
+                .post(test.processes.process("platform").port("http"), "/control/instances",
+                      list.dump())
+                .status
+            == 200);
+    std::this_thread::sleep_until(start + 3s);
+    for (const std::string &name : test.processes.names("entry-")) {
+        const http::response refused = test.complete(name);
+        CHECK(refused.status == 503);
+        CHECK(refused.body.find(R"("run":"not_run")") != std::string::npos);
+    }
+}
