--- a/corneltally/claims/claim_coordinator.cpp
+++ b/corneltally/claims/claim_coordinator.cpp
@@ -104,6 +104,9 @@
         for (std::size_t index = 0; index < effects.size(); ++index)
             applyRecord(batch->records[index], effects[index], inNow);
     }
+    // Offsets need not start at 0, and an empty stream has no record to tell where they do.
+    if (inRecords.empty())
+        mPosition = std::max(mPosition, inNext);
     mLatestReadAt = inNow;
     mCaughtUp = mCaughtUp || mPosition >= *mStartEnd;
     if (mPosition >= inNext)
--- a/tests/unit/claims_claim_coordinator_test.cpp
+++ b/tests/unit/claims_claim_coordinator_test.cpp
@@ -238,6 +238,14 @@
     CHECK_FALSE(claims.isCaughtUp());
 }
 
+TEST_CASE("an empty stream whose offsets do not start at 0 is read to its end")
+{
+    claim_coordinator claims("entry-1", 7, 1h);
+    claims.pageRead({}, 1, cStart, cStart);
+    CHECK(claims.isCaughtUp());
+    CHECK(claims.position() == 1);
+}
+
 TEST_CASE("claims are refused with Retry-After while the log cannot be read or written")
 {
     single one;
