--- a/apps/command_line.cpp
+++ b/apps/command_line.cpp
@@ -30,6 +30,8 @@
         words->composing();
         if (entry.wordCount > 1)
             words->multitoken();
+        else if (entry.wordCount == 0)
+            words->zero_tokens();
         description.add_options()(entry.name.c_str(), words, entry.description.c_str());
     }
     try {
@@ -58,7 +60,7 @@
         return false;
     }
     for (const option &entry : mOptions) {
-        if (values(entry.name).size() % entry.wordCount != 0) {
+        if (entry.wordCount > 0 && values(entry.name).size() % entry.wordCount != 0) {
             mExitCode = fail("--" + entry.name + " needs " + entry.words, outErrors);
             return false;
         }
--- a/corneltally/entry/admission_service.cpp
+++ b/corneltally/entry/admission_service.cpp
@@ -34,10 +34,11 @@
 } // namespace
 
 admission_service::admission_service(kernel::service_registry &inRegistry, std::string inInstance,
-                                     std::uint64_t inIncarnation)
+                                     std::uint64_t inIncarnation, bool inIgnoreShares)
     : mRegistry(inRegistry)
     , mInstance(std::move(inInstance))
     , mIncarnation(inIncarnation)
+    , mIgnoreShares(inIgnoreShares)
     , mStartedAt(core::boot_clock::now())
     , mWakeTimer(inRegistry.loop(), [this] { pollDue(); })
 {
@@ -114,7 +115,8 @@
     const core::time_point now = core::boot_clock::now();
     const auto instances = static_cast<double>(catalog.instances().size());
     const bool isListed = catalog.findInstance(mInstance) != nullptr;
-    const double fraction = isListed ? 1.0 / instances : 0.0;
+    const double share = mIgnoreShares ? 1.0 : 1.0 / instances;
+    const double fraction = isListed ? share : 0.0;
     std::set<std::string, std::less<>> names{std::string(cWeightStore)};
     for (const auto &[account, view] : catalog.accounts()) {
         names.insert(account);
--- a/corneltally/entry/admission_service.h
+++ b/corneltally/entry/admission_service.h
@@ -25,9 +25,10 @@
 class admission_service : public kernel::service
 {
 public:
-    /// The incarnation starts the numbering of loans.
+    /// The incarnation starts the numbering of loans. Without shares each instance enforces the
+    /// whole limits alone; only for tests.
     admission_service(kernel::service_registry &inRegistry, std::string inInstance,
-                      std::uint64_t inIncarnation);
+                      std::uint64_t inIncarnation, bool inIgnoreShares = false);
 
     std::string_view name() const override { return "admission"; }
     void start() override { }
@@ -68,6 +69,7 @@
     kernel::service_registry &mRegistry;
     std::string mInstance;
     std::uint64_t mIncarnation;
+    bool mIgnoreShares;
     core::time_point mStartedAt;
     bool mHasCatalog = false;
     limit_map mLimits;
--- a/corneltally/entry/daemon.cpp
+++ b/corneltally/entry/daemon.cpp
@@ -47,6 +47,21 @@
             .maxConnections = static_cast<std::uint64_t>(inLimits.maxConnections)};
 }
 
+/// Takes the place of the claims service if that guard is switched off, only for tests: each
+/// request is granted its key without an order on the log.
+void grantAllClaims(kernel::service_registry &ioRegistry)
+{
+    ioRegistry.handle<claim_begin>("claims", [&ioRegistry](const claim_begin &inBegin) {
+        ioRegistry.post("front_end",
+                        claim_result{.requestId = inBegin.requestId,
+                                     .outcome = claim_outcome::granted,
+                                     .claimId = inBegin.requestId});
+    });
+    ioRegistry.handle<claim_cancel>("claims", [](const claim_cancel &) {});
+    ioRegistry.handle<claim_finish>("claims", [](const claim_finish &) {});
+    ioRegistry.handle<claim_release>("claims", [](const claim_release &) {});
+}
+
 /// The services of one entry instance.
 class daemon
 {
@@ -61,7 +76,8 @@
                                 .listen = http::parseAddress(inSettings.callers),
                                 .limits = callerLimits(inSettings.limits),
                                 .maxUnsentBytes
-                                = static_cast<std::size_t>(inSettings.limits.maxUnsentBytes)})))
+                                = static_cast<std::size_t>(inSettings.limits.maxUnsentBytes),
+                                .keepFirstCatalog = inSettings.brokenGuard == "withdraw"})))
         , mOperatorApi(mRegistry.add(
               std::make_unique<operator_api_service>(mRegistry, mMetrics, inSettings.instanceName,
                                                      http::parseAddress(inSettings.operators))))
@@ -86,9 +102,14 @@
             mRegistry,
             owner_options{.instance = inSettings.instanceName,
                           .incarnation = mIncarnation,
-                          .platform = http::parseAddress(inSettings.platformAddress)}));
-        mRegistry.add(
-            std::make_unique<admission_service>(mRegistry, inSettings.instanceName, mIncarnation));
+                          .platform = http::parseAddress(inSettings.platformAddress),
+                          .ignoreUnknownUse = inSettings.brokenGuard == "fence"}));
+        mRegistry.add(std::make_unique<admission_service>(
+            mRegistry, inSettings.instanceName, mIncarnation, inSettings.brokenGuard == "shares"));
+        if (inSettings.brokenGuard == "claim") {
+            grantAllClaims(mRegistry);
+            return;
+        }
         mRegistry.add(std::make_unique<claims_service<platform::log_client>>(
             mRegistry,
             std::make_unique<platform::log_client>(mLoop,
--- a/corneltally/entry/front_end_service.cpp
+++ b/corneltally/entry/front_end_service.cpp
@@ -528,6 +528,8 @@
 
 void front_end_service::applyCatalog(const catalog_changed &inChange)
 {
+    if (mOptions.keepFirstCatalog && mCatalog)
+        return;
     mCatalog = inChange.catalog;
     std::vector<std::string> withdrawn;
     for (const auto &[id, running] : mRuns) {
--- a/corneltally/entry/front_end_service.h
+++ b/corneltally/entry/front_end_service.h
@@ -39,6 +39,8 @@
     http::server_limits limits;
     /// Bytes of an answer that a caller may leave unread before its connection is closed.
     std::size_t maxUnsentBytes = 1024 * 1024;
+    /// Keeps the first catalog, so that withdrawals do not take effect; only for tests.
+    bool keepFirstCatalog = false;
 };
 
 /// Serves the callers: checks keys and requests, has them admitted and claimed, starts runs and
--- a/corneltally/entry/owned_endpoint_adapters_impl.h
+++ b/corneltally/entry/owned_endpoint_adapters_impl.h
@@ -22,6 +22,8 @@
 template <endpoint::engine_protocol Engine>
 bool owned_endpoint<Engine>::isInUse(const std::string &inAdapter) const
 {
+    if (mOptions.ignoreUnknownUse)
+        return mQueue.runningOf(inAdapter) > 0;
     const auto reported = mReportedRuns.find(inAdapter);
     return mQueue.runningOf(inAdapter) > 0 || mTakeover.isQuarantined(inAdapter)
         || (reported != mReportedRuns.end() && reported->second > 0);
--- a/corneltally/entry/owned_endpoint_options.h
+++ b/corneltally/entry/owned_endpoint_options.h
@@ -19,6 +19,8 @@
     core::duration longestRequest = std::chrono::seconds(60);
     core::duration leaseLength = std::chrono::seconds(10);
     std::uint64_t firstLeaseSequence = 1;
+    /// Takes adapters whose use is not known for unused; only for tests.
+    bool ignoreUnknownUse = false;
 };
 
 /// What the owner of an endpoint uses of its process. All are called from the loop.
--- a/corneltally/entry/owner_service.cpp
+++ b/corneltally/entry/owner_service.cpp
@@ -157,7 +157,8 @@
             *entry.engine, inView,
             owned_endpoint_options{.instance = mOptions.instance,
                                    .incarnation = mOptions.incarnation,
-                                   .firstLeaseSequence = ++mCreated << 32U},
+                                   .firstLeaseSequence = ++mCreated << 32U,
+                                   .ignoreUnknownUse = mOptions.ignoreUnknownUse},
             hooksOf(inView.name));
         const auto known = mKnownFences.find(inView.name);
         if (known != mKnownFences.end())
--- a/corneltally/entry/owner_service.h
+++ b/corneltally/entry/owner_service.h
@@ -31,6 +31,8 @@
     std::uint64_t incarnation = 0;
     /// Address of the platform, for leases.
     http::address platform;
+    /// Takes adapters whose use is not known for unused; only for tests.
+    bool ignoreUnknownUse = false;
 };
 
 /// Owns endpoints: decides which ones this instance owns, and connects their logic with the other
--- a/corneltally/settings/process_settings.cpp
+++ b/corneltally/settings/process_settings.cpp
@@ -4,6 +4,7 @@
 #include "corneltally/settings/toml_document.h"
 
 #include <algorithm>
+#include <array>
 #include <limits>
 
 namespace corneltally::settings {
@@ -14,6 +15,7 @@
 
 constexpr std::string_view cPeerTable = "peer_addresses";
 constexpr std::string_view cEndpointTable = "endpoint_addresses";
+constexpr std::string_view cTestTable = "test";
 
 struct file_check
 {
@@ -127,6 +129,8 @@
     if (!inEntry.table.empty()) {
         const std::string key = qualified(inEntry.table.front(), inEntry.key);
         ioCheck.report(inEntry.line, key, "a table is not expected here", "remove it");
+    } else if (inEntry.key == cTestTable) {
+        return; // Not among the known tables, so that no message suggests it.
     } else if (const auto names = tableNames();
                std::ranges::find(names, inEntry.key) == names.end()) {
         ioCheck.report(inEntry.line, inEntry.key, "unknown table", suggestion(inEntry.key, names));
@@ -151,6 +155,20 @@
     }
 }
 
+void readBrokenGuard(file_check &ioCheck, const toml_document::entry &inEntry)
+{
+    static constexpr std::array<std::string_view, 4> cGuards{"claim", "fence", "shares",
+                                                             "withdraw"};
+    const std::string *guard = inEntry.value ? std::get_if<std::string>(&*inEntry.value) : nullptr;
+    if (inEntry.key != "break" || guard == nullptr
+        || std::ranges::find(cGuards, *guard) == cGuards.end()) {
+        ioCheck.report(inEntry.line, qualified(cTestTable, inEntry.key), "unknown test setting",
+                       R"(write break = "claim", "fence", "shares" or "withdraw")");
+        return;
+    }
+    ioCheck.settings.brokenGuard = *guard;
+}
+
 void readEntry(file_check &ioCheck, const toml_document::entry &inEntry)
 {
     if (inEntry.isTable) {
@@ -169,6 +187,10 @@
         readNamedAddress(ioCheck, inEntry);
         return;
     }
+    if (table == cTestTable) {
+        readBrokenGuard(ioCheck, inEntry);
+        return;
+    }
     std::vector<std::string_view> known;
     for (const table_key &candidate : process_settings::sKeys()) {
         if (candidate.table != table)
--- a/corneltally/settings/process_settings.h
+++ b/corneltally/settings/process_settings.h
@@ -45,6 +45,9 @@
     /// Replaces the address of endpoints of the settings tree, by endpoint name.
     std::map<std::string, std::string, std::less<>> endpointAddresses;
     process_limits limits;
+    /// Guard that is switched off to show that the checkers of the proofs can fail: "claim",
+    /// "fence", "shares" or "withdraw". Not in the reference; needs --allow-test-settings.
+    std::string brokenGuard;
 
     /// Checks a file as a whole. On failure the reason lists every problem, a line for each;
     /// outProblems gets them one by one.
--- a/standins/fleet.cpp
+++ b/standins/fleet.cpp
@@ -303,7 +303,10 @@
     std::vector<std::string> started;
     for (int index = 0; index < mOptions.instances; ++index) {
         const std::string name = numbered("entry-", index);
-        launch(name, "corneltally", {"entry", "--settings", writeEntrySettings(name)});
+        std::vector<std::string> arguments{"entry", "--settings", writeEntrySettings(name)};
+        if (!mOptions.brokenGuard.empty())
+            arguments.emplace_back("--allow-test-settings");
+        launch(name, "corneltally", std::move(arguments));
         started.push_back(name);
     }
     if (!waitAllReady(started))
@@ -408,6 +411,8 @@
         for (const std::string &name : endpointNames())
             text << name << " = \"" << addressFor(inName, name) << "\"\n";
     }
+    if (!mOptions.brokenGuard.empty())
+        text << "[test]\nbreak = \"" << mOptions.brokenGuard << "\"\n";
     const std::string file = inName + ".toml";
     writeFile(file, text.str());
     return fileIn(file);
--- a/standins/fleet.h
+++ b/standins/fleet.h
@@ -29,6 +29,7 @@
     const std::string &problem() const { return mProblem; }
 
     const deployment &plan() const { return mDeployment; }
+    const fleet_options &options() const { return mOptions; }
 
     /// A process by name; it must exist.
     child_process &process(const std::string &inName) { return mProcesses.at(inName); }
--- a/standins/fleet_options.h
+++ b/standins/fleet_options.h
@@ -31,6 +31,8 @@
     std::vector<std::string> applicationArguments;
     /// Keys of the root of the settings tree, such as "max_queue = 64\n".
     std::string rootSettings;
+    /// Guard that the entry instances switch off: "claim", "fence", "shares" or "withdraw".
+    std::string brokenGuard;
 };
 
 } // namespace standins
--- a/tests/unit/settings_commands_test.cpp
+++ b/tests/unit/settings_commands_test.cpp
@@ -285,6 +285,16 @@
     contains(result.errors, "instance.name: required key is missing");
 }
 
+TEST_CASE("entry refuses a switched-off guard without --allow-test-settings")
+{
+    const temporary_folder folder;
+    const run_result result
+        = runWith({"entry", "--settings",
+                   folder.write("broken.toml", cSettings + "[test]\nbreak = \"claim\"\n")});
+    CHECK(result.code == 2);
+    contains(result.errors, "the settings file switches a guard off");
+}
+
 TEST_CASE("publish creates a tree, changes it and reports rejections")
 {
     const temporary_folder folder;
--- a/tests/unit/settings_process_settings_test.cpp
+++ b/tests/unit/settings_process_settings_test.cpp
@@ -152,3 +152,17 @@
         = replaced(cValid, "callers = \"127.0.0.1:0\"", "callers = \"127.0.0.1:7102\"");
     CHECK(problemsOf(first).size() == 1);
 }
+
+TEST_CASE("a switched-off guard is read only if it is known, and no message suggests it")
+{
+    const auto broken
+        = process_settings::sFromToml(cValid + "[test]\nbreak = \"shares\"\n", "entry.toml");
+    REQUIRE(broken.hasValue());
+    CHECK(broken->brokenGuard == "shares");
+    CHECK(process_settings::sFromToml(cValid, "entry.toml")->brokenGuard.empty());
+    CHECK(problemsOf(cValid + "[test]\nbreak = \"all\"\n").size() == 1);
+    CHECK(problemsOf(cValid + "[test]\nbreak = 1\n").size() == 1);
+    CHECK(problemsOf(cValid + "[test]\nskip = \"claim\"\n").size() == 1);
+    for (const problem &entry : problemsOf(cValid + "[tests]\n"))
+        CHECK(entry.remedy.find("known here: test") == std::string::npos);
+}
