Wait until all instances serve before the demo sends its load

Admission grants nothing for about 7 s after a new tree, so that the first third of a short demo was refused for rate (59 of 202 quotes in 20 s). The launcher can now wait until each entry instance completes an idempotent call, and the demo does.

--- a/standins/demo_main.cpp
+++ b/standins/demo_main.cpp
@@ -70,7 +70,7 @@
     std::filesystem::remove_all(folder, ignored);
     standins::fleet fleet(
         {.binaries = inOptions.binaries, .folder = folder, .workload = inWorkload});
-    if (!fleet.start()) {
+    if (!fleet.start() || !fleet.waitServing()) {
         std::fprintf(stderr, "%s: %s\n", inWorkload.c_str(), fleet.problem().c_str());
         return false;
     }
--- a/standins/fleet.cpp
+++ b/standins/fleet.cpp
@@ -350,6 +350,29 @@
     return true;
 }
 
+bool fleet::waitServing()
+{
+    const auto deadline = steady::now() + cStartLimit;
+    const auto call = std::ranges::find(mDeployment.calls(), call_kind::idempotent_service,
+                                        &deployment_call::kind);
+    for (const std::string &name : names("entry-")) {
+        const auto serves = [&] {
+            return mProbe
+                       .post(process(name).port("callers"), call->path, R"({"item":"probe"})",
+                             {{"Authorization", "Bearer " + mDeployment.accounts().front().key},
+                              {"Content-Type", "application/json"}})
+                       .status
+                == 200;
+        };
+        while (!serves()) {
+            if (!process(name).isRunning() || steady::now() > deadline)
+                return fail(name + " does not serve calls, see its log");
+            std::this_thread::sleep_for(cPollInterval);
+        }
+    }
+    return true;
+}
+
 bool fleet::listInstances()
 {
     json list = json::array();
--- a/standins/fleet.h
+++ b/standins/fleet.h
@@ -26,6 +26,9 @@
     /// Starts everything, publishes the settings tree and waits until all instances are ready.
     /// Returns false if a part failed; problem() says which.
     bool start();
+    /// Waits until every entry instance completes an idempotent call. Admission grants nothing
+    /// until the shares of a new settings tree are in force.
+    bool waitServing();
     const std::string &problem() const { return mProblem; }
 
     const deployment &plan() const { return mDeployment; }
