--- a/standins/child_process.cpp
+++ b/standins/child_process.cpp
@@ -64,6 +64,7 @@
     , mReadyLine(std::move(inOther.mReadyLine))
     , mPorts(std::move(inOther.mPorts))
     , mExitCode(inOther.mExitCode)
+    , mEndSignal(inOther.mEndSignal)
 { }
 
 child_process &child_process::operator=(child_process &&inOther) noexcept
@@ -74,6 +75,7 @@
     std::swap(mReadyLine, inOther.mReadyLine);
     std::swap(mPorts, inOther.mPorts);
     std::swap(mExitCode, inOther.mExitCode);
+    std::swap(mEndSignal, inOther.mEndSignal);
     return *this;
 }
 
@@ -191,6 +193,7 @@
     mReadyLine.clear();
     mPorts.clear();
     mExitCode.reset();
+    mEndSignal = 0;
     start();
 }
 
@@ -223,6 +226,8 @@
     mPid = -1;
     if (WIFEXITED(inStatus))
         mExitCode = WEXITSTATUS(inStatus);
+    else if (WIFSIGNALED(inStatus))
+        mEndSignal = WTERMSIG(inStatus);
 }
 
 void child_process::closeOutput()
--- a/standins/child_process.h
+++ b/standins/child_process.h
@@ -41,6 +41,9 @@
     /// Waits until standard output is closed and returns what follows on what was read before.
     std::string readOutput(std::chrono::milliseconds inLimit);
 
+    /// Signal that ended the process; 0 if none did.
+    int endSignal() const { return mEndSignal; }
+
     pid_t pid() const { return mPid; }
     bool isRunning();
 
@@ -70,6 +73,7 @@
     std::string mReadyLine;
     std::map<std::string, unsigned short> mPorts;
     std::optional<int> mExitCode;
+    int mEndSignal = 0;
 };
 
 } // namespace standins
--- a/standins/fleet.cpp
+++ b/standins/fleet.cpp
@@ -366,7 +366,8 @@
         };
         while (!serves()) {
             if (!process(name).isRunning() || steady::now() > deadline)
-                return fail(name + " does not serve calls, see its log");
+                return fail(name + " does not serve calls, see its log; it ended by signal "
+                            + std::to_string(process(name).endSignal()));
             std::this_thread::sleep_for(cPollInterval);
         }
     }
