Report readiness only once the rates are in force

Cause: /readyz turned 200 before a new process may spend its share of the rates, so the load balancer sent callers that were refused with 429 for up to 2 s. Change: readiness waits for the loan duration of 2 s after the start.

--- a/corneltally/entry/operator_api_service.cpp
+++ b/corneltally/entry/operator_api_service.cpp
@@ -5,6 +5,7 @@
 #include "corneltally/entry/owner_messages.h"
 #include "corneltally/http/exchange.h"
 #include "corneltally/kernel/service_registry.h"
+#include "corneltally/limits/fleet_share.h"
 #include "corneltally/settings/catalog.h"
 
 #include <utility>
@@ -64,6 +65,9 @@
         ioExchange.replyJson(503, R"({"ready":false,"reason":"draining"})");
     else if (!mCatalog)
         ioExchange.replyJson(503, R"({"ready":false,"reason":"the settings are not loaded"})");
+    else if (core::boot_clock::now() - mStartedAt < limits::fleet_share::cLoanDuration)
+        // A new process may not spend its share of the rates yet and would refuse its callers.
+        ioExchange.replyJson(503, R"({"ready":false,"reason":"the rates are not in force"})");
     else
         ioExchange.replyJson(200, R"({"ready":true})");
 }
--- a/corneltally/entry/operator_api_service.h
+++ b/corneltally/entry/operator_api_service.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "corneltally/core/boot_clock.h"
 #include "corneltally/entry/settings_messages.h"
 #include "corneltally/http/server.h"
 #include "corneltally/kernel/service.h"
@@ -40,6 +41,7 @@
     http::address mListen;
     http::server mServer;
     std::shared_ptr<const settings::catalog> mCatalog;
+    core::time_point mStartedAt = core::boot_clock::now();
     bool mDraining = false;
 };
 
