Shorten the minimum stay of adapters, restore two checks and list the known failure

Cause: the simulation of one endpoint first required prompt p95 below first-come-first-served that skips blocked requests, at 24 adapters; that check failed and was replaced by a weaker one at 8 adapters. The proofs of P2 ran with so little load that a switched-off fence was not detected.

Change: the minimum stay is the load time of 0.25 s instead of 2 s. The P2 proofs have their first load again (8 calls/s, 14 adapters, skew 0.4, 50 ms a token).

--- a/bench/slopes_bench.cpp
+++ b/bench/slopes_bench.cpp
@@ -48,6 +48,7 @@
 double microseconds(int inRepeats, const std::function<void()> &inOperation)
 {
     std::vector<double> times;
+    times.reserve(cRounds);
     for (int round = 0; round < cRounds; ++round) {
         const double start = processorSeconds();
         for (int repeat = 0; repeat < inRepeats; ++repeat)
@@ -153,6 +154,7 @@
     bench::slope_fit viewTime;
     for (const int peers : {4, 20, 79, 300, 1'500}) {
         std::vector<std::string> names;
+        names.reserve(static_cast<std::size_t>(peers));
         for (int index = 0; index < peers; ++index)
             names.push_back("entry-" + std::to_string(index));
         const double before = heapBytes();
@@ -216,9 +218,11 @@
     const scheduling::route_choice choice;
     for (const int endpoints : {15, 60, 250, 1'000, 4'000}) {
         std::vector<std::string> names;
+        names.reserve(static_cast<std::size_t>(endpoints));
         for (int index = 0; index < endpoints; ++index)
             names.push_back("engine-" + std::to_string(index));
         std::vector<scheduling::route_option> options;
+        options.reserve(static_cast<std::size_t>(endpoints));
         for (int index = 0; index < endpoints; ++index) {
             options.push_back({.name = names[static_cast<std::size_t>(index)],
                                .ownerReachable = true,
@@ -244,6 +248,7 @@
     std::size_t recordBytes = 0;
     for (const int claims : {1'000, 4'000, 16'000, 64'000}) {
         std::vector<claims::claim_batch> batches;
+        batches.reserve(static_cast<std::size_t>(claims));
         for (int index = 0; index < claims; ++index) {
             batches.push_back(
                 {.id = "batch-" + std::to_string(index),
@@ -276,6 +281,7 @@
     for (const int accounts : {5, 50, 500, 5'000}) {
         const double before = heapBytes();
         std::vector<std::unique_ptr<limits::fleet_share>> shares;
+        shares.reserve(static_cast<std::size_t>(accounts));
         for (int index = 0; index < accounts; ++index)
             shares.push_back(std::make_unique<limits::fleet_share>(1e6, 4e6, 0.25, now));
         shareBytes.add(accounts, heapBytes() - before);
--- a/corneltally/scheduling/adapter_slots.h
+++ b/corneltally/scheduling/adapter_slots.h
@@ -19,7 +19,7 @@
     /// Adapters that can be resident at the same time.
     int slots = 4;
     /// An adapter stays at least this long, which bounds loads under shifting demand.
-    core::duration minimumStay = std::chrono::seconds(2);
+    core::duration minimumStay = std::chrono::milliseconds(250);
     core::duration popularityHalfLife = std::chrono::seconds(60);
     /// Wait after a failed load, doubled with each further failure of the same adapter.
     core::duration firstBackoff = std::chrono::milliseconds(500);
--- a/tests/promise/P02_unload_test.cpp
+++ b/tests/promise/P02_unload_test.cpp
@@ -24,16 +24,16 @@
     return {.engines = 5,
             .applications = 1,
             .enginesWithoutFencing = 2,
-            .adapters = 24,
+            .adapters = 14,
             .adapterSlots = 2,
             .platformArguments
             = {"--loads-per-second", "20", "--load-burst", "20", "--load-ms", "100"},
-            .engineArguments = {"--token-ms", "40"}};
+            .engineArguments = {"--token-ms", "50"}};
 }
 
 load_plan unloadLoad(double inSeconds)
 {
-    return {.callsPerSecond = 4, .seconds = inSeconds, .drainSeconds = 20, .skew = 0};
+    return {.callsPerSecond = 8, .seconds = inSeconds, .drainSeconds = 20, .skew = 0.4};
 }
 
 /// Endpoints that an instance owns.
--- a/tests/promise/P05_withdrawal_test.cpp
+++ b/tests/promise/P05_withdrawal_test.cpp
@@ -284,6 +284,7 @@
     fleet.control("platform", "log", R"({"stream":"settings","lose_answers":2})");
     constexpr int cOperators = 6;
     std::vector<standins::child_process> operators;
+    operators.reserve(cOperators);
     for (int index = 0; index < cOperators; ++index) {
         operators.push_back(
             fleet.startPublish({"--set", "/routes/stock", "path=/stock-" + std::to_string(index)}));
--- a/tests/unit/scheduling_simulation_test.cpp
+++ b/tests/unit/scheduling_simulation_test.cpp
@@ -361,13 +361,11 @@
         const figures fair = simulate(fair_policy(), arrivals, steady.length);
         print("80%: FCFS + LRU", strict);
         print("80%: FCFS skipping + LRU", skipping);
-        const figures shortStay = simulate(fair_policy(250ms), arrivals, steady.length);
         print("80%: fair queue + slots", fair);
-        print("80%: the same, stay 0.25 s", shortStay);
+        print("80%: the same, stay 2 s", simulate(fair_policy(2s), arrivals, steady.length));
         CHECK(fair.promptP95 < strict.promptP95 / 10);
         CHECK(fair.stalled < strict.stalled);
-        // With the default stay of 2 s the two are about equal: the stay costs what the order wins.
-        CHECK(shortStay.promptP95 < skipping.promptP95);
+        CHECK(fair.promptP95 < skipping.promptP95);
         CHECK(fair.worstServed > 0.9);
     }
 }
@@ -389,6 +387,20 @@
     }
 }
 
+// Guards against paying for fairness with longer waits when loads are scarce. Listed in
+// KNOWN-RED.txt.
+TEST_CASE("with more adapters than can be loaded prompt requests wait less than with LRU",
+          "[.known-red]")
+{
+    const workload loadBound{.loads = {0.32, 0.24, 0.08, 0.08, 0.08}, .adapters = 24, .skew = 1.5};
+    for (const unsigned seed : {1U, 2U, 3U}) {
+        const auto arrivals = makeArrivals(loadBound, seed);
+        const figures skipping = simulate(baseline_policy(true), arrivals, loadBound.length);
+        const figures fair = simulate(fair_policy(), arrivals, loadBound.length);
+        CHECK(fair.promptP95 < skipping.promptP95);
+    }
+}
+
 TEST_CASE("an account that floods an endpoint does not take the others' share")
 {
     const workload flood{.loads = {1.2, 0.1, 0.1, 0.1, 0.1}, .length = 300s};
