--- a/corneltally/entry/caller_answer.cpp
+++ b/corneltally/entry/caller_answer.cpp
@@ -1,9 +1,30 @@
 #include "corneltally/entry/caller_answer.h"
 
 #include "corneltally/core/json_log.h"
+#include "corneltally/settings/catalog.h"
+
+#include <algorithm>
+#include <vector>
 
 namespace corneltally::entry {
 
+std::string modelListBody(const settings::catalog &inCatalog)
+{
+    std::vector<const settings::adapter_view *> adapters;
+    adapters.reserve(inCatalog.adapterCount());
+    inCatalog.forEachAdapter(
+        [&adapters](const settings::adapter_view &inAdapter) { adapters.push_back(&inAdapter); });
+    std::ranges::sort(adapters, {}, &settings::adapter_view::name);
+    std::string text = "{\"object\":\"list\",\"data\":[";
+    for (const settings::adapter_view *adapter : adapters) {
+        text.append(text.ends_with('[') ? "" : ",").append("{\"id\":\"");
+        text.append(core::jsonEscape(adapter->name))
+            .append("\",\"object\":\"model\",\"version\":\"");
+        text.append(core::jsonEscape(adapter->version)).append("\"}");
+    }
+    return text.append("]}");
+}
+
 std::string errorBody(const caller_error &inError, std::string_view inRequestId)
 {
     std::string text = "{\"error\":{\"type\":\"";
--- a/corneltally/entry/caller_answer.h
+++ b/corneltally/entry/caller_answer.h
@@ -5,6 +5,10 @@
 #include <string>
 #include <string_view>
 
+namespace corneltally::settings {
+class catalog;
+}
+
 namespace corneltally::entry {
 
 /// A failure as a caller sees it.
@@ -17,6 +21,9 @@
     int retryAfterSeconds = 0;
 };
 
+/// Body of /v1/models: all adapters, ordered by name.
+std::string modelListBody(const settings::catalog &inCatalog);
+
 /// Body {"error":{...}} of a failure.
 std::string errorBody(const caller_error &inError, std::string_view inRequestId);
 
--- a/corneltally/entry/front_end_service.cpp
+++ b/corneltally/entry/front_end_service.cpp
@@ -191,19 +191,7 @@
         refuse(inCaller, {.error = identity.reason()}, {});
         return;
     }
-    std::vector<const settings::adapter_view *> adapters;
-    adapters.reserve(mCatalog->adapterCount());
-    mCatalog->forEachAdapter(
-        [&adapters](const settings::adapter_view &inAdapter) { adapters.push_back(&inAdapter); });
-    std::ranges::sort(adapters, {}, &settings::adapter_view::name);
-    std::string text = "{\"object\":\"list\",\"data\":[";
-    for (const settings::adapter_view *adapter : adapters) {
-        text.append(text.ends_with('[') ? "" : ",").append("{\"id\":\"");
-        text.append(core::jsonEscape(adapter->name))
-            .append("\",\"object\":\"model\",\"version\":\"");
-        text.append(core::jsonEscape(adapter->version)).append("\"}");
-    }
-    inCaller->replyJson(200, text.append("]}"), {{"X-Request-Id", nextRequestId()}});
+    inCaller->replyJson(200, modelListBody(*mCatalog), {{"X-Request-Id", nextRequestId()}});
     watchWrites(inCaller);
 }
 
