Destroy posted tasks before the event base

Cause: event_loop freed its event base while its queue still held tasks. A task posted by http::client::cancel() owns a call with a timer, whose destructor removes an event from the freed base. That corrupted the heap at the normal end of a process.

Change: the destructor empties the queue first, also of tasks that the destructors post. Test: kernel_shutdown_test replaces libevent's allocator and fails on the former code (the base was freed before the first task; the second one was never destroyed), passes now.

The row "all" of the chaos table now counts from the start of the load instead of 1970.

--- a/bench/chaos_fleet.cpp
+++ b/bench/chaos_fleet.cpp
@@ -60,6 +60,7 @@
     }
     mFacts = std::make_unique<standins::ledger>(mFleet.fileIn("chaos.ledger"), "chaos");
     mLoadSeconds = inSeconds;
+    mLoadStart = standins::wallSeconds();
     std::this_thread::sleep_for(std::chrono::duration<double>(cInForceSeconds));
     std::vector<std::string> arguments{"--workload",
                                        mFleet.plan().name(),
@@ -274,7 +275,7 @@
     };
     for (const phase &entry : mPhases)
         printRow(entry);
-    printRow({.fault = "all", .target = "", .start = 0, .end = standins::wallSeconds()});
+    printRow({.fault = "all", .target = "", .start = mLoadStart, .end = standins::wallSeconds()});
 }
 
 bool chaos_fleet::printViolations()
--- a/bench/chaos_fleet.h
+++ b/bench/chaos_fleet.h
@@ -74,6 +74,7 @@
     std::unique_ptr<standins::ledger> mFacts;
     std::optional<standins::child_process> mLoad;
     double mLoadSeconds = 0;
+    double mLoadStart = 0;
     std::vector<phase> mPhases;
     std::vector<std::string> mProblems;
     std::vector<standins::violation> mViolations;
--- /dev/null
+++ b/corneltally/http1/client_connection.cpp
@@ -0,0 +1,164 @@
+#include "corneltally/http1/client_connection.h"
+
+#include <cassert>
+#include <charconv>
+#include <utility>
+
+namespace corneltally::http1 {
+
+namespace {
+
+/// Reads the time-out of a field such as "timeout=5, max=100".
+std::optional<core::duration> keepAliveTimeout(std::string_view inValue)
+{
+    constexpr std::string_view cName = "timeout=";
+    const auto start = inValue.find(cName);
+    if (start == std::string_view::npos)
+        return std::nullopt;
+    int seconds = 0;
+    const char *first = inValue.data() + start + cName.size();
+    if (std::from_chars(first, inValue.data() + inValue.size(), seconds).ec != std::errc())
+        return std::nullopt;
+    return std::chrono::seconds(seconds);
+}
+
+} // namespace
+
+client_connection::client_connection(kernel::event_loop &inLoop, const address &inTarget,
+                                     core::duration inDataTimeout)
+    : mStream(inLoop, inTarget, inDataTimeout)
+    , mTarget(inTarget)
+    , mLastInput(core::boot_clock::now())
+{
+    mStream.setEvents({.onConnected = [this] { mConnected = true; },
+                       .onInput = [this] { readInput(); },
+                       .onDrained = {},
+                       .onEnd = [this](stream_end inEnd) { ended(inEnd); }});
+}
+
+void client_connection::start(const request_head &inHead, std::string_view inBody, events inEvents)
+{
+    assert(!mRunning && mReusable);
+    mEvents = std::move(inEvents);
+    mParser.emplace(message_parser::kind::response);
+    mRunning = true;
+    mHeadDelivered = false;
+    mDropping = false;
+    mSentBefore = mStream.sentBytes();
+    ++mExchanges;
+    std::string bytes = formatHead(inHead);
+    bytes.append(inBody);
+    mStream.write(bytes);
+}
+
+void client_connection::readInput()
+{
+    mLastInput = core::boot_clock::now();
+    if (!mRunning) {
+        // Bytes that no request asked for; what follows them cannot be told apart from an answer.
+        mReusable = false;
+        mStream.close();
+        return;
+    }
+    while (mRunning) {
+        const std::string_view input = mStream.input();
+        if (input.empty())
+            return;
+        const std::size_t taken = mParser->feed(input);
+        mStream.consume(taken);
+        if (mParser->failed()) {
+            finish(exchange_end::kind::broken, "the bytes are not an answer");
+            return;
+        }
+        if (!deliver())
+            return;
+        if (taken == 0)
+            return;
+    }
+}
+
+/// Passes on what was parsed. Returns false if the connection may not exist any more.
+bool client_connection::deliver()
+{
+    if (mParser->headComplete() && !mHeadDelivered) {
+        const response_head &head = mParser->response();
+        if (head.status / 100 == 1) {
+            // An interim answer has no body; the final one follows.
+            if (mParser->complete())
+                mParser.emplace(message_parser::kind::response);
+            return true;
+        }
+        mHeadDelivered = true;
+        mDropping = mEvents.accepts && !mEvents.accepts(head);
+        noteHead(head);
+        if (!mDropping && mEvents.onHead) {
+            const auto handler = mEvents.onHead;
+            handler(head);
+        }
+    }
+    if (!mRunning)
+        return false;
+    const std::string body = mParser->takeBody();
+    if (!body.empty() && !mDropping && mEvents.onBody)
+        mEvents.onBody(body);
+    if (mParser->complete()) {
+        if (mDropping) {
+            mParser.emplace(message_parser::kind::response);
+            mHeadDelivered = false;
+            mDropping = false;
+            return true;
+        }
+        finish(exchange_end::kind::complete, "complete");
+        return false;
+    }
+    return true;
+}
+
+void client_connection::noteHead(const response_head &inHead)
+{
+    if (!inHead.keepAlive)
+        mReusable = false;
+    if (const auto value = findField(inHead.fields, "Keep-Alive"))
+        mServerIdleLimit = keepAliveTimeout(*value);
+}
+
+void client_connection::finish(exchange_end::kind inOutcome, std::string_view inReason)
+{
+    mRunning = false;
+    const bool wasSent = sent();
+    // A request that is still being written, or bytes behind the answer, would spoil what follows.
+    if (inOutcome != exchange_end::kind::complete || !mStream.input().empty()
+        || mStream.unsentBytes() > 0)
+        mReusable = false;
+    if (!mReusable)
+        mStream.close();
+    const auto handler = std::exchange(mEvents, {}).onEnd;
+    if (handler)
+        handler({inOutcome, wasSent, inReason});
+}
+
+void client_connection::ended(stream_end inEnd)
+{
+    mReusable = false;
+    if (!mRunning) {
+        mStream.close();
+        return;
+    }
+    if (!mConnected) {
+        finish(exchange_end::kind::not_connected, "no connection");
+        return;
+    }
+    // Only an end in order completes a body without a stated length.
+    if (inEnd == stream_end::closed && mHeadDelivered && !mDropping
+        && mParser->endsWithConnection()) {
+        mParser->feedEnd();
+        if (mParser->complete()) {
+            finish(exchange_end::kind::complete, "complete");
+            return;
+        }
+    }
+    finish(exchange_end::kind::broken,
+           inEnd == stream_end::closed ? "the connection was closed" : "the connection failed");
+}
+
+} // namespace corneltally::http1
--- /dev/null
+++ b/corneltally/http1/client_connection.h
@@ -0,0 +1,93 @@
+#pragma once
+
+#include "corneltally/core/boot_clock.h"
+#include "corneltally/http1/message_head.h"
+#include "corneltally/http1/message_parser.h"
+#include "corneltally/http1/socket_stream.h"
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace corneltally::http1 {
+
+/// How an exchange with a server ended.
+struct exchange_end
+{
+    enum class kind {
+        /// The whole answer arrived.
+        complete,
+        /// No connection could be opened.
+        not_connected,
+        /// The connection ended, or what arrived is not an answer.
+        broken,
+    };
+
+    kind outcome = kind::broken;
+    /// Whether a byte of the request may have reached the server.
+    bool sent = false;
+    /// What happened, for the log.
+    std::string_view reason;
+};
+
+/// A connection to a server that carries one exchange at a time.
+class client_connection
+{
+public:
+    struct events
+    {
+        /// Whether an answer belongs to the request. One that does not is read and dropped.
+        std::function<bool(const response_head &)> accepts;
+        std::function<void(const response_head &)> onHead;
+        std::function<void(std::string_view inData)> onBody;
+        /// The last event of an exchange; the connection may be destroyed from inside it.
+        std::function<void(const exchange_end &)> onEnd;
+    };
+
+    client_connection(kernel::event_loop &inLoop, const address &inTarget,
+                      core::duration inDataTimeout);
+
+    /// Sends a request. The head carries the fields that frame the body.
+    void start(const request_head &inHead, std::string_view inBody, events inEvents);
+
+    /// Whether another exchange may be started.
+    bool reusable() const { return mReusable && mStream.isOpen(); }
+
+    const address &target() const { return mTarget; }
+    bool used() const { return mExchanges > 0; }
+
+    /// When the last byte arrived, or when the connection was opened.
+    core::time_point lastInput() const { return mLastInput; }
+
+    /// Idle time after which the server closes, if it said so.
+    std::optional<core::duration> serverIdleLimit() const { return mServerIdleLimit; }
+
+    /// Whether a byte of the running request may have reached the server.
+    bool sent() const { return mStream.sentBytes() > mSentBefore; }
+
+    void setReading(bool inReading) { mStream.setReading(inReading); }
+
+private:
+    void readInput();
+    bool deliver();
+    void finish(exchange_end::kind inOutcome, std::string_view inReason);
+    void ended(stream_end inEnd);
+    void noteHead(const response_head &inHead);
+
+    socket_stream mStream;
+    address mTarget;
+    events mEvents;
+    std::optional<message_parser> mParser;
+    bool mRunning = false;
+    bool mConnected = false;
+    bool mReusable = true;
+    bool mHeadDelivered = false;
+    bool mDropping = false;
+    std::size_t mSentBefore = 0;
+    int mExchanges = 0;
+    core::time_point mLastInput;
+    std::optional<core::duration> mServerIdleLimit;
+};
+
+} // namespace corneltally::http1
--- /dev/null
+++ b/corneltally/http1/server_connection.cpp
@@ -0,0 +1,230 @@
+#include "corneltally/http1/server_connection.h"
+
+#include "corneltally/kernel/event_loop.h"
+
+#include <array>
+#include <cstdio>
+#include <utility>
+
+namespace corneltally::http1 {
+
+namespace {
+
+/// How long a connection that was answered for good waits for the caller's end, so that a reset for
+/// unread bytes does not overtake the answer.
+constexpr core::duration cLingerTime = std::chrono::seconds(1);
+
+} // namespace
+
+server_connection::server_connection(kernel::event_loop &inLoop, int inSocket,
+                                     const caller_limits &inLimits, core::duration inDataTimeout)
+    : mStream(inLoop, inSocket, inDataTimeout)
+    , mLimits(inLimits)
+    , mParser(message_parser::kind::request, inLimits.maxHeaderBytes)
+    , mTimer(inLoop, [this] { timedOut(); })
+{
+    mStream.setEvents({.onConnected = {},
+                       .onInput = [this] { readInput(); },
+                       .onDrained =
+                           [this] {
+                               const auto handler = mEvents.onDrained;
+                               if (handler)
+                                   handler();
+                           },
+                       .onEnd = [this](stream_end) { closed(); }});
+    armTimer(mLimits.idleTimeout);
+}
+
+void server_connection::setEvents(events inEvents)
+{
+    mEvents = std::move(inEvents);
+}
+
+void server_connection::armTimer(core::duration inDelay)
+{
+    mTimer.cancel();
+    mTimer.startOnce(inDelay);
+}
+
+void server_connection::timedOut()
+{
+    if (mPhase == phase::reading) {
+        refuse(408);
+        return;
+    }
+    if (mPhase != phase::busy)
+        closed();
+}
+
+void server_connection::closed()
+{
+    mStream.close();
+    mTimer.cancel();
+    const auto handler = std::exchange(mEvents, {}).onClosed;
+    if (handler)
+        handler();
+}
+
+void server_connection::readInput()
+{
+    if (mPhase == phase::lingering) {
+        mStream.consume(mStream.input().size());
+        return;
+    }
+    if (mPhase != phase::busy)
+        parse();
+}
+
+/// Returns false if the connection may not exist any more.
+bool server_connection::parse()
+{
+    while (true) {
+        const std::string_view input = mStream.input();
+        if (input.empty())
+            return true;
+        if (mPhase == phase::idle) {
+            mPhase = phase::reading;
+            mArrived = core::boot_clock::now();
+            armTimer(mLimits.headerTimeout);
+        }
+        const bool headBefore = mParser.headComplete();
+        const std::size_t taken = mParser.feed(input);
+        mStream.consume(taken);
+        if (mParser.failed()) {
+            refuse(mParser.headTooLarge() ? 431 : 400);
+            return false;
+        }
+        if (mParser.headComplete()) {
+            if (!headBefore)
+                armTimer(mLimits.bodyTimeout);
+            mBody.append(mParser.takeBody());
+            if (mBody.size() > mLimits.maxBodyBytes) {
+                refuse(413);
+                return false;
+            }
+            if (!mParser.complete() && !mContinueSent
+                && findField(mParser.request().fields, "Expect").has_value()) {
+                mContinueSent = true;
+                mStream.write("HTTP/1.1 100 Continue\r\n\r\n");
+            }
+        }
+        if (mParser.complete()) {
+            mPhase = phase::busy;
+            mBusy = true;
+            mHeadSent = false;
+            mTimer.cancel();
+            server_request request{mParser.request(), std::exchange(mBody, {}), mArrived};
+            mKeepAlive = request.head.keepAlive;
+            mChunkedAllowed = request.head.chunkedAllowed;
+            mHeadRequest = request.head.method == "HEAD";
+            const auto handler = mEvents.onRequest;
+            if (handler)
+                handler(std::move(request));
+            return false;
+        }
+        if (taken == 0)
+            return true;
+    }
+}
+
+void server_connection::refuse(int inStatus)
+{
+    mKeepAlive = false;
+    mPhase = phase::busy;
+    mBusy = true;
+    respond({.status = inStatus}, {});
+}
+
+void server_connection::writeHead(response_head &ioHead)
+{
+    if (mClosing)
+        mKeepAlive = false;
+    if (!mKeepAlive)
+        ioHead.fields.emplace_back("Connection", "close");
+    mHeadSent = true;
+    mStream.write(formatHead(ioHead));
+}
+
+void server_connection::respond(response_head inHead, std::string_view inBody)
+{
+    startResponse(std::move(inHead), inBody.size());
+    sendBody(inBody);
+    endResponse();
+}
+
+void server_connection::startResponse(response_head inHead, std::optional<std::uint64_t> inLength)
+{
+    const bool bodyless = inHead.status == 204 || inHead.status == 304;
+    mChunked = false;
+    if (inLength) {
+        if (!bodyless)
+            inHead.fields.emplace_back("Content-Length", std::to_string(*inLength));
+    } else if (mChunkedAllowed) {
+        mChunked = true;
+        inHead.fields.emplace_back("Transfer-Encoding", "chunked");
+    } else {
+        mKeepAlive = false;
+    }
+    writeHead(inHead);
+}
+
+void server_connection::sendBody(std::string_view inData)
+{
+    if (inData.empty() || mHeadRequest)
+        return;
+    if (mChunked) {
+        std::array<char, 24> size{};
+        const int length = std::snprintf(size.data(), size.size(), "%zx\r\n", inData.size());
+        std::string chunk(size.data(), static_cast<std::size_t>(length));
+        chunk.append(inData).append("\r\n");
+        mStream.write(chunk);
+    } else {
+        mStream.write(inData);
+    }
+}
+
+void server_connection::endResponse()
+{
+    if (mChunked && !mHeadRequest)
+        mStream.write("0\r\n\r\n");
+    finishResponse();
+}
+
+void server_connection::finishResponse()
+{
+    mBusy = false;
+    if (!mKeepAlive || mClosing) {
+        linger();
+        return;
+    }
+    mPhase = phase::idle;
+    mContinueSent = false;
+    mParser = message_parser(message_parser::kind::request, mLimits.maxHeaderBytes);
+    armTimer(mLimits.idleTimeout);
+    // A request that arrived meanwhile is read on, unless this runs inside its event.
+    if (!mStream.input().empty())
+        parse();
+}
+
+void server_connection::linger()
+{
+    mPhase = phase::lingering;
+    mStream.shutdownWrite();
+    mStream.consume(mStream.input().size());
+    armTimer(cLingerTime);
+}
+
+void server_connection::abort()
+{
+    mBusy = false;
+    closed();
+}
+
+void server_connection::closeWhenIdle()
+{
+    mClosing = true;
+    if (mPhase == phase::idle)
+        linger();
+}
+
+} // namespace corneltally::http1
--- /dev/null
+++ b/corneltally/http1/server_connection.h
@@ -0,0 +1,108 @@
+#pragma once
+
+#include "corneltally/core/boot_clock.h"
+#include "corneltally/http1/message_head.h"
+#include "corneltally/http1/message_parser.h"
+#include "corneltally/http1/socket_stream.h"
+#include "corneltally/kernel/timer.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace corneltally::http1 {
+
+/// What a caller may send and how long it may take.
+struct caller_limits
+{
+    std::uint32_t maxHeaderBytes = 16 * 1024;
+    std::uint64_t maxBodyBytes = 4 * 1024 * 1024;
+    core::duration headerTimeout = std::chrono::seconds(3);
+    core::duration bodyTimeout = std::chrono::seconds(15);
+    core::duration idleTimeout = std::chrono::seconds(15);
+
+    friend bool operator==(const caller_limits &, const caller_limits &) = default;
+};
+
+/// A whole request as it was received.
+struct server_request
+{
+    request_head head;
+    std::string body;
+    /// When the first byte of the request arrived.
+    core::time_point arrived;
+};
+
+/// A caller's connection. It reads one request at a time and writes its answer.
+class server_connection
+{
+public:
+    struct events
+    {
+        std::function<void(server_request)> onRequest;
+        /// All bytes of an answer were handed to the transport.
+        std::function<void()> onDrained;
+        /// The connection is of no more use; also when the caller left during a request. The
+        /// connection may be destroyed from inside it.
+        std::function<void()> onClosed;
+    };
+
+    server_connection(kernel::event_loop &inLoop, int inSocket, const caller_limits &inLimits,
+                      core::duration inDataTimeout);
+
+    void setEvents(events inEvents);
+
+    /// Sends a whole answer.
+    void respond(response_head inHead, std::string_view inBody);
+
+    /// Begins an answer whose body follows. With a length the body must have it; without one it is
+    /// sent in chunks, or ends with the connection for an old caller.
+    void startResponse(response_head inHead, std::optional<std::uint64_t> inLength);
+    void sendBody(std::string_view inData);
+    void endResponse();
+
+    /// Breaks an answer off, so that it can't be taken for a complete one.
+    void abort();
+
+    /// Asks for the end of the connection: at once if it is idle, else after the running answer.
+    void closeWhenIdle();
+
+    bool busy() const { return mBusy; }
+    bool headSent() const { return mHeadSent; }
+    std::size_t unsentBytes() const { return mStream.unsentBytes(); }
+
+private:
+    enum class phase { idle, reading, busy, lingering };
+
+    void readInput();
+    bool parse();
+    void refuse(int inStatus);
+    void finishResponse();
+    void linger();
+    void closed();
+    void armTimer(core::duration inDelay);
+    void timedOut();
+    void writeHead(response_head &ioHead);
+
+    socket_stream mStream;
+    caller_limits mLimits;
+    events mEvents;
+    message_parser mParser;
+    kernel::timer mTimer;
+    std::string mBody;
+    core::time_point mArrived;
+    phase mPhase = phase::idle;
+    bool mBusy = false;
+    bool mHeadSent = false;
+    bool mChunked = false;
+    bool mKeepAlive = true;
+    bool mChunkedAllowed = true;
+    bool mHeadRequest = false;
+    bool mClosing = false;
+    bool mContinueSent = false;
+};
+
+} // namespace corneltally::http1
--- a/corneltally/kernel/event_loop.cpp
+++ b/corneltally/kernel/event_loop.cpp
@@ -47,6 +47,11 @@
 
 event_loop::~event_loop()
 {
+    // What posted tasks hold may own events of the base, and its destructors may post more tasks.
+    while (!mPosted.empty()) {
+        std::vector<std::function<void()>> dropped;
+        dropped.swap(mPosted);
+    }
     mSignals.clear();
     if (mTickEvent != nullptr)
         event_free(mTickEvent);
--- /dev/null
+++ b/corneltally/routing/service.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <compare>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace corneltally::routing {
+
+/// A base model that the engines of a service may hold.
+struct base_model
+{
+    std::string name;
+    double weightsMb = 0;
+    int adapters = 0;
+    double adapterMb = 0;
+
+    friend auto operator<=>(const base_model &, const base_model &) = default;
+};
+
+/// What is common to the engines of a service.
+struct engine_profile
+{
+    /// Requests that an engine runs at once.
+    int batch = 0;
+    /// Tokens of prompts and answers that fit into an engine.
+    double memoryTokens = 0;
+    double weightsMb = 0;
+    /// Adapters that may be resident at the same time, those on their way included.
+    int adapterSlots = 0;
+    std::vector<base_model> models;
+
+    friend auto operator<=>(const engine_profile &, const engine_profile &) = default;
+};
+
+/// A service that routes name.
+struct service
+{
+    std::string name;
+    /// Connections that one endpoint accepts from all instances together.
+    int maxConnections = 0;
+    /// Present if the endpoints are language-model engines.
+    std::optional<engine_profile> engine;
+
+    friend auto operator<=>(const service &, const service &) = default;
+};
+
+} // namespace corneltally::routing
