Keep an engine's place for an adapter whose load is late, and cut begun answers

Change: only a report frees a place; a late load is tried again after 80 ms; load times follow the number of loads over all engines. Change: an answer that was begun is only cut.

--- a/corneltally/forwarding/forward_run.cpp
+++ b/corneltally/forwarding/forward_run.cpp
@@ -176,9 +176,7 @@
     const auto choice = engines::chooseEndpoint(mContext.book, mWork, mContext.failureDomain,
                                                 mContext.settings.choice, now);
     if (!choice) {
-        if (mAnswerBegun)
-            finish(mHead.status, "broken_off", "no endpoint to go on at");
-        else if (mStatement == run_statement::not_run)
+        if (mStatement == run_statement::not_run)
             refuseBusy("no endpoint can serve the request");
         else
             answerUnknown("no other endpoint can serve the request");
@@ -571,7 +569,15 @@
     case next_step::abort:
         break;
     }
+    breakOff(inReason);
+}
+
+/// Ends an answer that was begun and can't be completed, so that the caller sees that it is cut.
+void forward_run::breakOff(std::string_view inReason)
+{
+    dropAttempt();
     finish(mHead.status, "broken_off", inReason);
+    mCaller.abort();
 }
 
 /// An engine that refuses for an adapter that is on its way, or that it lost, gets the request
@@ -599,7 +605,6 @@
             mContext.registry.post("orders", orders::local_adapter_missing{missing});
         else
             mContext.registry.post("mesh", fleet::mesh_send{target.holder, missing});
-        mLoadRetries = mContext.settings.maxLoadRetries;
         if (!target.holderReady)
             return false;
         orderAdapter();
@@ -621,7 +626,7 @@
     if (mState == state::done)
         return;
     if (mAnswerBegun) {
-        finish(mHead.status, "broken_off", "the time of the route is over");
+        breakOff("the time of the route is over");
         return;
     }
     if (mState == state::sent) {
@@ -664,6 +669,10 @@
 void forward_run::refuse(int inStatus, std::string_view inReason,
                          std::optional<core::duration> inRetryAfter)
 {
+    if (mAnswerBegun) {
+        breakOff(inReason);
+        return;
+    }
     if (mCharged > 0 && mStatement == run_statement::not_run)
         mContext.allowance.giveBack(mAccount, mCharged);
     mState = state::done;
@@ -682,6 +691,10 @@
 
 void forward_run::answerUnknown(std::string_view inReason)
 {
+    if (mAnswerBegun) {
+        breakOff(inReason);
+        return;
+    }
     const int status = timeLeft() <= core::duration::zero() ? 504 : 502;
     mState = state::done;
     finish(status, "unknown", inReason);
@@ -721,13 +734,8 @@
                     {"sent_ms", mSends > 0 ? inMs(mSentAt - mRequest.arrived) : -1},
                     {"first_ms", mFirstByteAt ? inMs(*mFirstByteAt - mRequest.arrived) : -1},
                     {"ms", inMs(now - mRequest.arrived)}});
-    const bool brokenOff = inOutcome == "broken_off";
     const auto done = mDone;
     done();
-    if (brokenOff) {
-        dropAttempt();
-        mCaller.abort();
-    }
 }
 
 } // namespace corneltally::forwarding
--- a/corneltally/forwarding/forward_run.h
+++ b/corneltally/forwarding/forward_run.h
@@ -75,6 +75,7 @@
     bool adapterThere() const;
     void finish(int inStatus, std::string_view inOutcome, std::string_view inReason);
     void dropAttempt();
+    void breakOff(std::string_view inReason);
     void beginLoad();
     void endLoad();
     void firstEventSeen();
--- a/corneltally/orders/engine_keeper.cpp
+++ b/corneltally/orders/engine_keeper.cpp
@@ -38,6 +38,7 @@
         mVersions.clear();
         mArriving.clear();
         mModels.clear();
+        mWarm.clear();
         mOrders.reset();
         mUnderWay.reset();
         mUncertain = false;
@@ -74,10 +75,13 @@
 
 void engine_keeper::missing(const std::string &inKey, core::time_point inNow)
 {
-    mSlots.missing(inKey, inNow);
-    if (mVersions.erase(inKey) > 0)
-        ++mRevision;
     mNextReport = std::min(mNextReport, inNow + mSettings.resyncPeriod);
+    const auto resident = mVersions.find(inKey);
+    if (resident == mVersions.end())
+        return;
+    mArriving[inKey] = {resident->second, inNow + mSettings.lateLoadPause};
+    mVersions.erase(resident);
+    ++mRevision;
 }
 
 void engine_keeper::versionNamed(const std::string &inKey, std::uint64_t inVersion)
@@ -244,13 +248,36 @@
     const std::string key = engines::adapterKey(inOrder.model, inOrder.adapter);
     if (inOrder.kind == operation::unload) {
         mSlots.unloadEnded(key, inDone, inNow);
+        if (inDone)
+            noteUnloaded(key);
         return;
     }
     if (!inDone) {
         mSlots.loadEnded(key, false, inNow);
         return;
     }
-    mArriving[key] = {inOrder.version, inNow + mSettings.adapterLoad};
+    mArriving[key] = {inOrder.version, inNow + loadTime(key)};
+}
+
+void engine_keeper::noteUnloaded(const std::string &inKey)
+{
+    std::erase(mWarm, inKey);
+    mWarm.push_back(inKey);
+    if (mWarm.size() > mSettings.warmAdapters)
+        mWarm.erase(mWarm.begin());
+}
+
+core::duration engine_keeper::loadTime(const std::string &inKey) const
+{
+    double factor = 1;
+    if (std::ranges::find(mWarm, inKey) != mWarm.end())
+        factor = mSettings.warmLoad;
+    else
+        factor = std::max(1.0,
+                          static_cast<double>(mArriving.size() + 1
+                                              + static_cast<std::size_t>(mArrivingElsewhere))
+                              / mSettings.parallelLoads);
+    return std::chrono::duration_cast<core::duration>(mSettings.adapterLoad * factor);
 }
 
 void engine_keeper::resync(core::time_point inNow)
@@ -329,6 +356,9 @@
         }
     }
     mSlots.reported(resident, arriving, described, inNow);
+    std::erase_if(mArriving, [&](const auto &inEntry) {
+        return mSlots.stateOf(inEntry.first) == scheduling::adapter_slots::state::absent;
+    });
     for (const std::string &key : resident) {
         if (mSlots.stateOf(key) == scheduling::adapter_slots::state::resident)
             mVersions[key] = versions[key];
--- a/corneltally/orders/engine_keeper.h
+++ b/corneltally/orders/engine_keeper.h
@@ -21,6 +21,16 @@
 {
     /// Time to load an adapter (deployment sheets: 250 ms).
     core::duration adapterLoad = std::chrono::milliseconds(250);
+    /// Adapters on their way over all engines beyond which loads slow down in proportion
+    /// (deployment sheets: 8).
+    int parallelLoads = 8;
+    /// Part of the load time that an adapter takes which the engine held recently (platform's
+    /// pages: a tenth).
+    double warmLoad = 0.1;
+    /// Adapters that an engine keeps at hand after they were unloaded.
+    std::size_t warmAdapters = 40;
+    /// Pause before a request may try an adapter again that was expected but is not there.
+    core::duration lateLoadPause = std::chrono::milliseconds(80);
     /// Adapters that may be on their way to one engine at the same time (platform's pages: 4).
     int maxArriving = 4;
     /// An adapter that a request was sent for this recently counts as in use.
@@ -55,9 +65,13 @@
     /// A request was sent for an adapter.
     void used(const std::string &inKey, core::time_point inNow);
 
-    /// The engine refused a request because the adapter is not there.
+    /// The engine refused a request because the adapter is not there: its load takes longer than
+    /// expected, or the engine lost it. It keeps its place until a report shows which.
     void missing(const std::string &inKey, core::time_point inNow);
 
+    /// Adapters on their way to all other engines. Beyond a number of them each load takes longer.
+    void setArrivingElsewhere(int inCount) { mArrivingElsewhere = inCount; }
+
     /// The operator named a version of an adapter: a resident older one has to be replaced.
     void versionNamed(const std::string &inKey, std::uint64_t inVersion);
 
@@ -108,6 +122,8 @@
                                     std::string_view inKey) const;
     void settled(const engines::engine_order &inOrder, bool inDone, core::time_point inNow);
     void resync(core::time_point inNow);
+    void noteUnloaded(const std::string &inKey);
+    core::duration loadTime(const std::string &inKey) const;
     std::uint64_t namedVersion(const std::string &inKey) const;
 
     std::string mEngine;
@@ -121,6 +137,9 @@
     std::map<std::string, demand, std::less<>> mDemand;
     std::map<std::string, core::time_point, std::less<>> mUsed;
     std::vector<std::string> mModels;
+    /// Adapters that were unloaded, the latest last.
+    std::vector<std::string> mWarm;
+    int mArrivingElsewhere = 0;
     std::optional<std::uint64_t> mOrders;
     std::optional<under_way> mUnderWay;
     /// An order got no answer and its effect is not known.
--- a/corneltally/orders/order_service.cpp
+++ b/corneltally/orders/order_service.cpp
@@ -98,6 +98,8 @@
             wanted(*request, inReceived.instance);
         else if (const auto *report = std::get_if<fleet::adapter_missing>(&inReceived.body))
             missing(*report);
+        else if (const auto *state = std::get_if<fleet::engine_state>(&inReceived.body))
+            mElsewhere[state->endpoint] = state->adapters;
         else if (const auto *beat = std::get_if<fleet::heartbeat>(&inReceived.body)) {
             for (const fleet::adapter_use &use : beat->adapterUses)
                 used(use);
@@ -203,6 +205,7 @@
 {
     mEntries.erase(inId);
     mHeld.erase(inId);
+    mElsewhere.erase(inId);
 }
 
 void order_service::versionNamed(const catalog::adapter_version_named &inNamed)
@@ -277,10 +280,28 @@
     }
 }
 
+int order_service::arrivingElsewhere(const std::string &inEngine, core::time_point inNow) const
+{
+    std::size_t count = 0;
+    for (const auto &[engine, state] : mHeld) {
+        if (engine != inEngine)
+            count += state.keeper.adapters().arriving.size();
+    }
+    for (const auto &[engine, adapters] : mElsewhere) {
+        if (!mHeld.contains(engine))
+            count += static_cast<std::size_t>(
+                std::ranges::count_if(adapters.arriving, [&](const auto &inEntry) {
+                    return inEntry.second.readyAt > inNow;
+                }));
+    }
+    return static_cast<int>(count);
+}
+
 void order_service::pump(const std::string &inEngine, held &ioHeld, core::time_point inNow)
 {
     ioHeld.keeper.advance(inNow);
     if (mClaims.mayOrder(inEngine, inNow)) {
+        ioHeld.keeper.setArrivingElsewhere(arrivingElsewhere(inEngine, inNow));
         if (const auto order = ioHeld.keeper.nextOrder(inNow))
             sendOrder(inEngine, *order);
     }
--- a/corneltally/orders/order_service.h
+++ b/corneltally/orders/order_service.h
@@ -68,6 +68,7 @@
     void versionNamed(const catalog::adapter_version_named &inNamed);
     void describe(const std::string &inEngine);
     void tick();
+    int arrivingElsewhere(const std::string &inEngine, core::time_point inNow) const;
     void pump(const std::string &inEngine, held &ioHeld, core::time_point inNow);
     void sendOrder(const std::string &inEngine, const engines::engine_order &inOrder);
     void orderEnded(const std::string &inEngine, const engines::engine_order &inOrder,
@@ -88,6 +89,8 @@
     std::map<std::string, held> mHeld;
     std::map<std::string, std::uint64_t> mNamedVersions;
     std::set<std::string> mLive;
+    /// Adapters on their way to the engines that other instances hold, by engine.
+    std::map<std::string, engines::residency> mElsewhere;
     std::uint64_t mTopicEnd = 0;
     bool mAppendUnderWay = false;
     core::time_point mClaimNotBefore;
