--- a/corneltally/engines/endpoint_book.h
+++ b/corneltally/engines/endpoint_book.h
@@ -58,6 +58,8 @@
     core::time_point notBefore;
     scheduling::endpoint_health health = scheduling::endpoint_health();
     endpoint_load own;
+    /// Requests of this instance that run, by adapter.
+    std::map<std::string, int, std::less<>> ownRunning;
     residency adapters;
     /// Base models that the engine holds.
     std::vector<std::string> models;
--- a/corneltally/fleet/fleet_codec.cpp
+++ b/corneltally/fleet/fleet_codec.cpp
@@ -39,6 +39,18 @@
     return list;
 }
 
+std::vector<std::unique_ptr<wire::AdapterUseT>> encodeUses(const std::vector<adapter_use> &inUses)
+{
+    std::vector<std::unique_ptr<wire::AdapterUseT>> list;
+    for (const adapter_use &use : inUses) {
+        auto entry = std::make_unique<wire::AdapterUseT>();
+        entry->endpoint = use.endpoint;
+        entry->adapter = use.adapter;
+        list.push_back(std::move(entry));
+    }
+    return list;
+}
+
 struct body_encoder
 {
     core::time_point now;
@@ -75,12 +87,8 @@
             entry->memory_tokens = load.memoryTokens;
             target.loads.push_back(std::move(entry));
         }
-        for (const adapter_use &use : inHeartbeat.adapterUses) {
-            auto entry = std::make_unique<wire::AdapterUseT>();
-            entry->endpoint = use.endpoint;
-            entry->adapter = use.adapter;
-            target.adapter_uses.push_back(std::move(entry));
-        }
+        target.adapter_uses = encodeUses(inHeartbeat.adapterUses);
+        target.adapters_running = encodeUses(inHeartbeat.adaptersRunning);
         body.Set(std::move(target));
     }
 
@@ -139,6 +147,8 @@
         decoded.loads[load->endpoint] = {load->requests, load->prompt_tokens, load->memory_tokens};
     for (const auto &use : inBody.adapter_uses)
         decoded.adapterUses.push_back({use->endpoint, use->adapter});
+    for (const auto &use : inBody.adapters_running)
+        decoded.adaptersRunning.push_back({use->endpoint, use->adapter});
     return decoded;
 }
 
--- a/corneltally/fleet/fleet_messages.h
+++ b/corneltally/fleet/fleet_messages.h
@@ -45,7 +45,9 @@
     std::vector<std::string> heard;
     std::vector<limits::account_use> accountUses;
     std::map<std::string, engines::endpoint_load, std::less<>> loads;
+    /// Requests that were sent since the last heartbeat, and those that run.
     std::vector<adapter_use> adapterUses;
+    std::vector<adapter_use> adaptersRunning;
 
     friend bool operator==(const heartbeat &, const heartbeat &) = default;
 };
--- a/corneltally/fleet/mesh_messages.h
+++ b/corneltally/fleet/mesh_messages.h
@@ -41,6 +41,7 @@
     std::vector<limits::account_use> accountUses;
     std::map<std::string, engines::endpoint_load, std::less<>> loads;
     std::vector<adapter_use> adapterUses;
+    std::vector<adapter_use> adaptersRunning;
 };
 
 } // namespace corneltally::fleet
--- a/corneltally/fleet/mesh_service.cpp
+++ b/corneltally/fleet/mesh_service.cpp
@@ -312,7 +312,8 @@
                    .draining = mDraining,
                    .accountUses = inPart.accountUses,
                    .loads = inPart.loads,
-                   .adapterUses = inPart.adapterUses};
+                   .adapterUses = inPart.adapterUses,
+                   .adaptersRunning = inPart.adaptersRunning};
     for (const auto &[name, known] : mInstances) {
         if (known.live)
             beat.heard.push_back(name);
--- a/corneltally/forwarding/forward_run.cpp
+++ b/corneltally/forwarding/forward_run.cpp
@@ -344,6 +344,8 @@
     ++target.own.requests;
     target.own.promptTokens += mWork.promptTokens;
     target.own.memoryTokens += mMemoryTokens;
+    if (!mWork.adapter.empty())
+        ++target.ownRunning[engines::adapterKey(mWork.model, mWork.adapter)];
     target.health.started();
     mLoadCounted = true;
     mPromptCounted = true;
@@ -371,6 +373,10 @@
     if (target == nullptr || target->entry.startedMs != mEndpointStart)
         return;
     --target->own.requests;
+    const auto running
+        = target->ownRunning.find(engines::adapterKey(mWork.model, mWork.adapter));
+    if (running != target->ownRunning.end() && --running->second <= 0)
+        target->ownRunning.erase(running);
     target->own.memoryTokens -= mMemoryTokens;
     if (mPromptCounted)
         target->own.promptTokens -= mWork.promptTokens;
--- a/corneltally/forwarding/front_service.cpp
+++ b/corneltally/forwarding/front_service.cpp
@@ -221,10 +221,12 @@
     for (const auto &[id, target] : mContext.book.all()) {
         if (target.own.requests > 0)
             part.loads[id] = target.own;
+        for (const auto &[adapter, count] : target.ownRunning)
+            part.adaptersRunning.push_back({id, adapter});
     }
     part.adapterUses = std::exchange(mContext.adapterUses, {});
-    for (const fleet::adapter_use &use : part.adapterUses)
-        mContext.registry.post("orders", orders::local_adapter_used{use});
+    mContext.registry.post(
+        "orders", orders::local_adapter_uses{part.adapterUses, part.adaptersRunning});
     mContext.registry.post("mesh", std::move(part));
 }
 
--- a/corneltally/orders/engine_keeper.cpp
+++ b/corneltally/orders/engine_keeper.cpp
@@ -16,6 +16,9 @@
 /// Popularity that one use adds; far above the amount at which the slots forget an adapter.
 constexpr double cUseWeight = 1000;
 
+/// Uses that are older have no effect on any decision.
+constexpr core::duration cUseMemory = std::chrono::seconds(30);
+
 /// Splits "model/adapter".
 std::pair<std::string, std::string> splitKey(std::string_view inKey)
 {
@@ -41,7 +44,8 @@
         mWarm.clear();
         mOrders.reset();
         mUnderWay.reset();
-        mUncertain = false;
+        mUnresolved.reset();
+        mOrderNotBefore = inNow;
         mModelLoadUntil.reset();
         mNextReport = inNow;
         ++mRevision;
@@ -51,6 +55,9 @@
     scheduling::slot_settings slots;
     slots.slots = std::max(1, inProfile.adapterSlots);
     slots.popularityHalfLife = std::chrono::seconds(15);
+    // Most refusals mean that another order is under way, which says nothing about the adapter.
+    slots.firstBackoff = mSettings.busyPause;
+    slots.maxBackoff = std::chrono::seconds(2);
     mSlots.configure(slots);
 }
 
@@ -70,9 +77,21 @@
 void engine_keeper::used(const std::string &inKey, core::time_point inNow)
 {
     mUsed[inKey] = inNow;
+    mRunning[inKey] = inNow;
     mSlots.requested(inKey, cUseWeight, inNow);
 }
 
+void engine_keeper::running(const std::string &inKey, core::time_point inNow)
+{
+    mRunning[inKey] = inNow;
+}
+
+bool engine_keeper::isRunning(const std::string &inKey, core::time_point inNow) const
+{
+    const auto found = mRunning.find(inKey);
+    return found != mRunning.end() && inNow - found->second < mSettings.useTime;
+}
+
 void engine_keeper::missing(const std::string &inKey, core::time_point inNow)
 {
     mNextReport = std::min(mNextReport, inNow + mSettings.resyncPeriod);
@@ -84,15 +103,18 @@
     ++mRevision;
 }
 
-void engine_keeper::versionNamed(const std::string &inKey, std::uint64_t inVersion)
+void engine_keeper::versionNamed(const std::string &inKey, std::uint64_t inVersion,
+                                 core::time_point inNow)
 {
-    mNamed[inKey] = std::max(mNamed[inKey], inVersion);
+    named_version &named = mNamed[inKey];
+    if (named.version < inVersion)
+        named = {inVersion, inNow};
 }
 
 std::uint64_t engine_keeper::namedVersion(const std::string &inKey) const
 {
     const auto found = mNamed.find(inKey);
-    return found == mNamed.end() ? 0 : found->second;
+    return found == mNamed.end() ? 0 : found->second.version;
 }
 
 engines::engine_order engine_keeper::makeOrder(operation inKind, std::string_view inKey) const
@@ -114,7 +136,7 @@
         mUnderWay->sent = true;
         return mUnderWay->order;
     }
-    if (!inSync())
+    if (!inSync() || inNow < mOrderNotBefore)
         return std::nullopt;
     std::optional<engines::engine_order> order = modelOrder(inNow);
     if (!order)
@@ -158,6 +180,9 @@
         if (version >= namedVersion(key)
             || mSlots.stateOf(key) != scheduling::adapter_slots::state::resident)
             continue;
+        const auto named = mNamed.find(key);
+        if (isRunning(key, inNow) && inNow - named->second.at < mSettings.replacementPatience)
+            continue;
         // An old adapter that nobody asks for makes room instead of being fetched again.
         const auto used = mUsed.find(key);
         if (!mDemand.contains(key)
@@ -188,10 +213,8 @@
              .startTag = static_cast<double>(entry.first.time_since_epoch().count())});
     }
     std::ranges::sort(demands, {}, &scheduling::adapter_demand::startTag);
-    const auto inUse = [&](const std::string &inKey) {
-        const auto found = mUsed.find(inKey);
-        return found != mUsed.end() && inNow - found->second < mSettings.useTime;
-    };
+    // An engine that is to unload an adapter in use takes no other order until its requests end.
+    const auto inUse = [&](const std::string &inKey) { return isRunning(inKey, inNow); };
     const scheduling::slot_decision decision = mSlots.decide(demands, inUse, inNow);
     switch (decision.kind) {
     case scheduling::slot_decision::action::none:
@@ -211,32 +234,30 @@
     if (!mUnderWay || mUnderWay->order != inOrder)
         return;
     const engines::engine_order order = mUnderWay->order;
-    switch (inOutcome) {
-    case engines::order_outcome::accepted:
-    case engines::order_outcome::holds:
-        mUnderWay.reset();
-        mOrders = order.expectedOrders + 1;
-        mUncertain = false;
-        settled(order, true, inNow);
-        return;
-    case engines::order_outcome::unknown:
+    const bool repeated = mUnderWay->repeated;
+    if (inOutcome == engines::order_outcome::unknown) {
         mUnderWay->sent = false;
+        mUnderWay->repeated = true;
         mUnderWay->notBefore = inNow + mSettings.repeatPause;
         return;
-    case engines::order_outcome::conflict:
-        // The engine has accepted another number of orders: perhaps this one, sent before.
-        mUnderWay.reset();
-        settled(order, order.kind == operation::load, inNow);
-        resync(inNow);
-        return;
-    case engines::order_outcome::fenced:
-    case engines::order_outcome::other_engine:
-    case engines::order_outcome::refused:
-        break;
     }
     mUnderWay.reset();
+    if (inOutcome == engines::order_outcome::accepted
+        || inOutcome == engines::order_outcome::holds) {
+        mOrders = order.expectedOrders + 1;
+        settled(order, true, inNow);
+        return;
+    }
+    // A report must be newer than the order to show what became of it.
+    mNextReport = inNow + mSettings.reportLag;
+    mOrderNotBefore = inNow + mSettings.busyPause;
+    if (inOutcome == engines::order_outcome::conflict && repeated) {
+        // The first of the two may have been accepted, or another order is under way.
+        mUnresolved = order;
+        ++mRevision;
+        return;
+    }
     settled(order, false, inNow);
-    resync(inNow);
 }
 
 void engine_keeper::settled(const engines::engine_order &inOrder, bool inDone,
@@ -254,8 +275,12 @@
     }
     if (!inDone) {
         mSlots.loadEnded(key, false, inNow);
+        // A replacement that was refused leaves the older version in place.
+        if (mVersions.contains(key))
+            mSlots.loadEnded(key, true, inNow);
         return;
     }
+    mVersions.erase(key);
     mArriving[key] = {inOrder.version, inNow + loadTime(key)};
 }
 
@@ -280,11 +305,18 @@
     return std::chrono::duration_cast<core::duration>(mSettings.adapterLoad * factor);
 }
 
-void engine_keeper::resync(core::time_point inNow)
+/// Settles an order that was sent twice by what a later report shows.
+void engine_keeper::resolve(const engines::engine_order &inOrder, bool inPresent,
+                            core::time_point inNow)
 {
-    mUncertain = true;
-    // An earlier report would describe the engine as it was before the order.
-    mNextReport = inNow + mSettings.reportLag;
+    if (inOrder.adapter.empty())
+        return;
+    const std::string key = engines::adapterKey(inOrder.model, inOrder.adapter);
+    if (inOrder.kind == operation::unload) {
+        mSlots.unloadEnded(key, !inPresent, inNow);
+        return;
+    }
+    mSlots.loadEnded(key, inPresent, inNow);
 }
 
 void engine_keeper::advance(core::time_point inNow)
@@ -300,9 +332,9 @@
         ++mRevision;
         entry = mArriving.erase(entry);
     }
-    std::erase_if(mUsed, [&](const auto &inEntry) {
-        return inNow - inEntry.second > std::chrono::seconds(30);
-    });
+    const auto isOld = [&](const auto &inEntry) { return inNow - inEntry.second > cUseMemory; };
+    std::erase_if(mUsed, isOld);
+    std::erase_if(mRunning, isOld);
     mSlots.prune(inNow);
 }
 
@@ -321,21 +353,17 @@
                                 core::time_point inNow)
 {
     mReportUnderWay = false;
-    mNextReport
-        = inNow + (inReport && !mUncertain ? mSettings.reportPeriod : mSettings.resyncPeriod);
+    mNextReport = inNow + (inReport && inSync() ? mSettings.reportPeriod : mSettings.resyncPeriod);
     if (!inReport || inReport->startedMs != mEntry.startedMs)
         return;
     const core::time_point described = mReportStartedAt - mSettings.reportLag;
     // While an order is under way, or one was given since, the report may be older than it.
-    if (mUnderWay || (mOrders && !mUncertain && *mOrders != inReport->orders))
+    if (mUnderWay || described < mLastOrderAt) {
+        if (mOrders != inReport->orders)
+            mNextReport = inNow + mSettings.resyncPeriod;
         return;
-    if ((mUncertain || !mOrders) && described < mLastOrderAt)
-        return;
-    if (!mOrders || mUncertain) {
-        mOrders = inReport->orders;
-        mUncertain = false;
-        mNextReport = inNow + mSettings.reportPeriod;
     }
+    mOrders = inReport->orders;
     std::vector<std::string> resident;
     std::vector<std::string> arriving;
     std::vector<std::string> models;
@@ -355,6 +383,15 @@
                 engines::arriving_adapter{adapter.version, inNow + mSettings.adapterLoad / 2});
         }
     }
+    if (mUnresolved) {
+        const std::string key = engines::adapterKey(mUnresolved->model, mUnresolved->adapter);
+        resolve(*mUnresolved,
+                std::ranges::find(resident, key) != resident.end()
+                    || std::ranges::find(arriving, key) != arriving.end(),
+                inNow);
+        mUnresolved.reset();
+        mNextReport = inNow + mSettings.reportPeriod;
+    }
     mSlots.reported(resident, arriving, described, inNow);
     std::erase_if(mArriving, [&](const auto &inEntry) {
         return mSlots.stateOf(inEntry.first) == scheduling::adapter_slots::state::absent;
--- a/corneltally/orders/engine_keeper.h
+++ b/corneltally/orders/engine_keeper.h
@@ -33,8 +33,14 @@
     core::duration lateLoadPause = std::chrono::milliseconds(80);
     /// Adapters that may be on their way to one engine at the same time (platform's pages: 4).
     int maxArriving = 4;
-    /// An adapter that a request was sent for this recently counts as in use.
-    core::duration useTime = std::chrono::milliseconds(700);
+    /// An adapter counts as in use for this long after an instance said so; instances say it five
+    /// times a second while a request runs.
+    core::duration useTime = std::chrono::milliseconds(500);
+    /// A version that was named is loaded over an adapter in use only after this time: the engine
+    /// takes no other order until the adapter's requests have ended. The operator's bound is 5 s.
+    core::duration replacementPatience = std::chrono::milliseconds(2500);
+    /// Pause after the engine refused an order because another one is under way.
+    core::duration busyPause = std::chrono::milliseconds(100);
     /// Demand that was not renewed for this long is dropped.
     core::duration demandAge = std::chrono::milliseconds(1500);
     /// Lag of reports (platform's pages: some hundred ms).
@@ -65,6 +71,9 @@
     /// A request was sent for an adapter.
     void used(const std::string &inKey, core::time_point inNow);
 
+    /// A request runs on an adapter.
+    void running(const std::string &inKey, core::time_point inNow);
+
     /// The engine refused a request because the adapter is not there: its load takes longer than
     /// expected, or the engine lost it. It keeps its place until a report shows which.
     void missing(const std::string &inKey, core::time_point inNow);
@@ -73,7 +82,7 @@
     void setArrivingElsewhere(int inCount) { mArrivingElsewhere = inCount; }
 
     /// The operator named a version of an adapter: a resident older one has to be replaced.
-    void versionNamed(const std::string &inKey, std::uint64_t inVersion);
+    void versionNamed(const std::string &inKey, std::uint64_t inVersion, core::time_point inNow);
 
     /// The next order, if one is due. The caller sends it and reports its outcome.
     std::optional<engines::engine_order> nextOrder(core::time_point inNow);
@@ -89,7 +98,7 @@
     void advance(core::time_point inNow);
 
     /// Whether orders may be given: the number of accepted orders is known.
-    bool inSync() const { return mOrders.has_value() && !mUncertain; }
+    bool inSync() const { return mOrders.has_value() && !mUnresolved; }
 
     engines::residency adapters() const;
     std::vector<std::string> models() const { return mModels; }
@@ -112,8 +121,15 @@
     {
         engines::engine_order order;
         bool sent = false;
+        /// It was sent before and got no answer.
+        bool repeated = false;
         core::time_point notBefore;
     };
+    struct named_version
+    {
+        std::uint64_t version = 0;
+        core::time_point at;
+    };
 
     std::optional<engines::engine_order> adapterOrder(core::time_point inNow);
     std::optional<engines::engine_order> modelOrder(core::time_point inNow);
@@ -121,7 +137,8 @@
     engines::engine_order makeOrder(engines::engine_order::operation inKind,
                                     std::string_view inKey) const;
     void settled(const engines::engine_order &inOrder, bool inDone, core::time_point inNow);
-    void resync(core::time_point inNow);
+    bool isRunning(const std::string &inKey, core::time_point inNow) const;
+    void resolve(const engines::engine_order &inOrder, bool inPresent, core::time_point inNow);
     void noteUnloaded(const std::string &inKey);
     core::duration loadTime(const std::string &inKey) const;
     std::uint64_t namedVersion(const std::string &inKey) const;
@@ -133,17 +150,19 @@
     scheduling::adapter_slots mSlots;
     std::map<std::string, std::uint64_t, std::less<>> mVersions;
     std::map<std::string, engines::arriving_adapter, std::less<>> mArriving;
-    std::map<std::string, std::uint64_t, std::less<>> mNamed;
+    std::map<std::string, named_version, std::less<>> mNamed;
     std::map<std::string, demand, std::less<>> mDemand;
     std::map<std::string, core::time_point, std::less<>> mUsed;
+    std::map<std::string, core::time_point, std::less<>> mRunning;
     std::vector<std::string> mModels;
     /// Adapters that were unloaded, the latest last.
     std::vector<std::string> mWarm;
     int mArrivingElsewhere = 0;
     std::optional<std::uint64_t> mOrders;
     std::optional<under_way> mUnderWay;
-    /// An order got no answer and its effect is not known.
-    bool mUncertain = false;
+    /// An order whose effect only a report can show, since it was sent twice.
+    std::optional<engines::engine_order> mUnresolved;
+    core::time_point mOrderNotBefore;
     bool mReportUnderWay = false;
     core::time_point mReportStartedAt;
     core::time_point mNextReport;
--- a/corneltally/orders/order_messages.h
+++ b/corneltally/orders/order_messages.h
@@ -2,6 +2,8 @@
 
 #include "corneltally/fleet/fleet_messages.h"
 
+#include <vector>
+
 /// Messages from and to the order service.
 namespace corneltally::orders {
 
@@ -17,10 +19,12 @@
     fleet::adapter_missing missing;
 };
 
-/// A request of this instance was sent for an adapter.
-struct local_adapter_used
+/// Adapters that requests of this instance were sent for since the last message, and those that
+/// requests run on now.
+struct local_adapter_uses
 {
-    fleet::adapter_use use;
+    std::vector<fleet::adapter_use> sent;
+    std::vector<fleet::adapter_use> running;
 };
 
 /// State of an engine that this instance holds.
--- a/corneltally/orders/order_service.cpp
+++ b/corneltally/orders/order_service.cpp
@@ -101,16 +101,16 @@
         else if (const auto *state = std::get_if<fleet::engine_state>(&inReceived.body))
             mElsewhere[state->endpoint] = state->adapters;
         else if (const auto *beat = std::get_if<fleet::heartbeat>(&inReceived.body)) {
-            for (const fleet::adapter_use &use : beat->adapterUses)
-                used(use);
+            used(beat->adapterUses, beat->adaptersRunning);
         }
     });
     mRegistry.handle<local_load_wanted>(
         cName, [this](const local_load_wanted &inLocal) { wanted(inLocal.wanted, "self"); });
     mRegistry.handle<local_adapter_missing>(
         cName, [this](const local_adapter_missing &inLocal) { missing(inLocal.missing); });
-    mRegistry.handle<local_adapter_used>(
-        cName, [this](const local_adapter_used &inLocal) { used(inLocal.use); });
+    mRegistry.handle<local_adapter_uses>(cName, [this](const local_adapter_uses &inLocal) {
+        used(inLocal.sent, inLocal.running);
+    });
 }
 
 void order_service::start()
@@ -192,7 +192,7 @@
     engine_keeper &keeper = found->second.keeper;
     keeper.describe(entry->second, *profile, core::boot_clock::now());
     for (const auto &[key, version] : mNamedVersions)
-        keeper.versionNamed(key, version);
+        keeper.versionNamed(key, version, core::boot_clock::now());
 }
 
 void order_service::endpointChanged(const engines::endpoint_entry &inEntry)
@@ -214,7 +214,7 @@
     std::uint64_t &known = mNamedVersions[key];
     known = std::max(known, inNamed.version);
     for (auto &[engine, state] : mHeld) {
-        state.keeper.versionNamed(key, known);
+        state.keeper.versionNamed(key, known, core::boot_clock::now());
         pump(engine, state, core::boot_clock::now());
     }
 }
@@ -262,11 +262,20 @@
     pump(inMissing.endpoint, found->second, now);
 }
 
-void order_service::used(const fleet::adapter_use &inUse)
+void order_service::used(const std::vector<fleet::adapter_use> &inSent,
+                         const std::vector<fleet::adapter_use> &inRunning)
 {
-    const auto found = mHeld.find(inUse.endpoint);
-    if (found != mHeld.end())
-        found->second.keeper.used(inUse.adapter, core::boot_clock::now());
+    const core::time_point now = core::boot_clock::now();
+    for (const fleet::adapter_use &use : inSent) {
+        const auto found = mHeld.find(use.endpoint);
+        if (found != mHeld.end())
+            found->second.keeper.used(use.adapter, now);
+    }
+    for (const fleet::adapter_use &use : inRunning) {
+        const auto found = mHeld.find(use.endpoint);
+        if (found != mHeld.end())
+            found->second.keeper.running(use.adapter, now);
+    }
 }
 
 void order_service::tick()
--- a/schemas/fleet_generated.h
+++ b/schemas/fleet_generated.h
@@ -654,6 +654,7 @@
   std::vector<std::unique_ptr<corneltally::fleet_wire::AccountUseT>> account_uses{};
   std::vector<std::unique_ptr<corneltally::fleet_wire::EndpointLoadT>> loads{};
   std::vector<std::unique_ptr<corneltally::fleet_wire::AdapterUseT>> adapter_uses{};
+  std::vector<std::unique_ptr<corneltally::fleet_wire::AdapterUseT>> adapters_running{};
   HeartbeatT() = default;
   HeartbeatT(const HeartbeatT &o);
   HeartbeatT(HeartbeatT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -670,7 +671,8 @@
     VT_HEARD = 8,
     VT_ACCOUNT_USES = 10,
     VT_LOADS = 12,
-    VT_ADAPTER_USES = 14
+    VT_ADAPTER_USES = 14,
+    VT_ADAPTERS_RUNNING = 16
   };
   uint64_t operator_end() const {
     return GetField<uint64_t>(VT_OPERATOR_END, 0);
@@ -690,6 +692,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<corneltally::fleet_wire::AdapterUse>> *adapter_uses() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<corneltally::fleet_wire::AdapterUse>> *>(VT_ADAPTER_USES);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<corneltally::fleet_wire::AdapterUse>> *adapters_running() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<corneltally::fleet_wire::AdapterUse>> *>(VT_ADAPTERS_RUNNING);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_OPERATOR_END, 8) &&
@@ -706,6 +711,9 @@
            VerifyOffset(verifier, VT_ADAPTER_USES) &&
            verifier.VerifyVector(adapter_uses()) &&
            verifier.VerifyVectorOfTables(adapter_uses()) &&
+           VerifyOffset(verifier, VT_ADAPTERS_RUNNING) &&
+           verifier.VerifyVector(adapters_running()) &&
+           verifier.VerifyVectorOfTables(adapters_running()) &&
            verifier.EndTable();
   }
   HeartbeatT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -735,6 +743,9 @@
   void add_adapter_uses(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<corneltally::fleet_wire::AdapterUse>>> adapter_uses) {
     fbb_.AddOffset(Heartbeat::VT_ADAPTER_USES, adapter_uses);
   }
+  void add_adapters_running(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<corneltally::fleet_wire::AdapterUse>>> adapters_running) {
+    fbb_.AddOffset(Heartbeat::VT_ADAPTERS_RUNNING, adapters_running);
+  }
   explicit HeartbeatBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -753,9 +764,11 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> heard = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<corneltally::fleet_wire::AccountUse>>> account_uses = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<corneltally::fleet_wire::EndpointLoad>>> loads = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<corneltally::fleet_wire::AdapterUse>>> adapter_uses = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<corneltally::fleet_wire::AdapterUse>>> adapter_uses = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<corneltally::fleet_wire::AdapterUse>>> adapters_running = 0) {
   HeartbeatBuilder builder_(_fbb);
   builder_.add_operator_end(operator_end);
+  builder_.add_adapters_running(adapters_running);
   builder_.add_adapter_uses(adapter_uses);
   builder_.add_loads(loads);
   builder_.add_account_uses(account_uses);
@@ -776,11 +789,13 @@
     const std::vector<flatbuffers::Offset<flatbuffers::String>> *heard = nullptr,
     const std::vector<flatbuffers::Offset<corneltally::fleet_wire::AccountUse>> *account_uses = nullptr,
     const std::vector<flatbuffers::Offset<corneltally::fleet_wire::EndpointLoad>> *loads = nullptr,
-    const std::vector<flatbuffers::Offset<corneltally::fleet_wire::AdapterUse>> *adapter_uses = nullptr) {
+    const std::vector<flatbuffers::Offset<corneltally::fleet_wire::AdapterUse>> *adapter_uses = nullptr,
+    const std::vector<flatbuffers::Offset<corneltally::fleet_wire::AdapterUse>> *adapters_running = nullptr) {
   auto heard__ = heard ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*heard) : 0;
   auto account_uses__ = account_uses ? _fbb.CreateVector<flatbuffers::Offset<corneltally::fleet_wire::AccountUse>>(*account_uses) : 0;
   auto loads__ = loads ? _fbb.CreateVector<flatbuffers::Offset<corneltally::fleet_wire::EndpointLoad>>(*loads) : 0;
   auto adapter_uses__ = adapter_uses ? _fbb.CreateVector<flatbuffers::Offset<corneltally::fleet_wire::AdapterUse>>(*adapter_uses) : 0;
+  auto adapters_running__ = adapters_running ? _fbb.CreateVector<flatbuffers::Offset<corneltally::fleet_wire::AdapterUse>>(*adapters_running) : 0;
   return corneltally::fleet_wire::CreateHeartbeat(
       _fbb,
       operator_end,
@@ -788,7 +803,8 @@
       heard__,
       account_uses__,
       loads__,
-      adapter_uses__);
+      adapter_uses__,
+      adapters_running__);
 }
 
 flatbuffers::Offset<Heartbeat> CreateHeartbeat(flatbuffers::FlatBufferBuilder &_fbb, const HeartbeatT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1637,6 +1653,8 @@
   for (const auto &loads_ : o.loads) { loads.emplace_back((loads_) ? new corneltally::fleet_wire::EndpointLoadT(*loads_) : nullptr); }
   adapter_uses.reserve(o.adapter_uses.size());
   for (const auto &adapter_uses_ : o.adapter_uses) { adapter_uses.emplace_back((adapter_uses_) ? new corneltally::fleet_wire::AdapterUseT(*adapter_uses_) : nullptr); }
+  adapters_running.reserve(o.adapters_running.size());
+  for (const auto &adapters_running_ : o.adapters_running) { adapters_running.emplace_back((adapters_running_) ? new corneltally::fleet_wire::AdapterUseT(*adapters_running_) : nullptr); }
 }
 
 inline HeartbeatT &HeartbeatT::operator=(HeartbeatT o) FLATBUFFERS_NOEXCEPT {
@@ -1646,6 +1664,7 @@
   std::swap(account_uses, o.account_uses);
   std::swap(loads, o.loads);
   std::swap(adapter_uses, o.adapter_uses);
+  std::swap(adapters_running, o.adapters_running);
   return *this;
 }
 
@@ -1664,6 +1683,7 @@
   { auto _e = account_uses(); if (_e) { _o->account_uses.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->account_uses[_i] = std::unique_ptr<corneltally::fleet_wire::AccountUseT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = loads(); if (_e) { _o->loads.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->loads[_i] = std::unique_ptr<corneltally::fleet_wire::EndpointLoadT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = adapter_uses(); if (_e) { _o->adapter_uses.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->adapter_uses[_i] = std::unique_ptr<corneltally::fleet_wire::AdapterUseT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = adapters_running(); if (_e) { _o->adapters_running.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->adapters_running[_i] = std::unique_ptr<corneltally::fleet_wire::AdapterUseT>(_e->Get(_i)->UnPack(_resolver)); } } }
 }
 
 inline flatbuffers::Offset<Heartbeat> Heartbeat::Pack(flatbuffers::FlatBufferBuilder &_fbb, const HeartbeatT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -1680,6 +1700,7 @@
   auto _account_uses = _o->account_uses.size() ? _fbb.CreateVector<flatbuffers::Offset<corneltally::fleet_wire::AccountUse>> (_o->account_uses.size(), [](size_t i, _VectorArgs *__va) { return CreateAccountUse(*__va->__fbb, __va->__o->account_uses[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _loads = _o->loads.size() ? _fbb.CreateVector<flatbuffers::Offset<corneltally::fleet_wire::EndpointLoad>> (_o->loads.size(), [](size_t i, _VectorArgs *__va) { return CreateEndpointLoad(*__va->__fbb, __va->__o->loads[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _adapter_uses = _o->adapter_uses.size() ? _fbb.CreateVector<flatbuffers::Offset<corneltally::fleet_wire::AdapterUse>> (_o->adapter_uses.size(), [](size_t i, _VectorArgs *__va) { return CreateAdapterUse(*__va->__fbb, __va->__o->adapter_uses[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _adapters_running = _o->adapters_running.size() ? _fbb.CreateVector<flatbuffers::Offset<corneltally::fleet_wire::AdapterUse>> (_o->adapters_running.size(), [](size_t i, _VectorArgs *__va) { return CreateAdapterUse(*__va->__fbb, __va->__o->adapters_running[i].get(), __va->__rehasher); }, &_va ) : 0;
   return corneltally::fleet_wire::CreateHeartbeat(
       _fbb,
       _operator_end,
@@ -1687,7 +1708,8 @@
       _heard,
       _account_uses,
       _loads,
-      _adapter_uses);
+      _adapter_uses,
+      _adapters_running);
 }
 
 inline LoadWantedT *LoadWanted::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- /dev/null
+++ b/tests/unit/catalog_service_test.cpp
@@ -0,0 +1,237 @@
+// Guards against configurations that go back, history that is gone, and entries that vanish while
+// the store is away.
+
+#include "corneltally/catalog/catalog_service.h"
+#include "corneltally/kernel/event_loop.h"
+#include "corneltally/kernel/timer.h"
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <catch2/catch.hpp>
+
+using namespace corneltally;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// A store whose topics the test fills; reads answer at once, waiting reads when a record is there.
+class mock_store
+{
+public:
+    using read_handler = std::function<void(const store::read_result &)>;
+
+    struct topic
+    {
+        std::vector<store::record> records;
+        std::uint64_t first = 0;
+        std::uint64_t end = 0;
+    };
+
+    explicit mock_store(kernel::event_loop &inLoop)
+        : mLoop(inLoop)
+    { }
+
+    void readNewest(const std::string &inTopic, const std::string & /*inAfterKey*/,
+                    read_handler inHandler)
+    {
+        ++newestReads;
+        std::map<std::string, store::record> newest;
+        for (const store::record &record : topics[inTopic].records)
+            newest[record.key] = record;
+        store::read_result result{.outcome = status(), .end = topics[inTopic].end};
+        for (const auto &[key, record] : newest) {
+            if (record.value)
+                result.records.push_back(record);
+        }
+        answer(std::move(inHandler), std::move(result));
+    }
+
+    void read(const std::string &inTopic, std::uint64_t inFrom, core::duration /*inWait*/,
+              read_handler inHandler)
+    {
+        const topic &source = topics[inTopic];
+        store::read_result result{.outcome = status(), .end = source.end};
+        if (inFrom < source.first)
+            result.outcome = store::read_result::status::expired;
+        for (const store::record &record : source.records) {
+            if (record.offset >= inFrom)
+                result.records.push_back(record);
+        }
+        answer(std::move(inHandler), std::move(result));
+    }
+
+    void append(const std::string &inTopic, const std::vector<store::record> &inRecords,
+                std::optional<std::uint64_t> inExpectedEnd,
+                std::function<void(const store::append_result &)> inHandler)
+    {
+        store::append_result result{.outcome = store::append_result::status::moved};
+        if (!inExpectedEnd || *inExpectedEnd == topics[inTopic].end) {
+            result = {store::append_result::status::accepted, topics[inTopic].end};
+            for (const store::record &record : inRecords)
+                put(inTopic, record.key, record.value);
+        }
+        mLoop.post([handler = std::move(inHandler), result] { handler(result); });
+    }
+
+    void put(const std::string &inTopic, const std::string &inKey,
+             std::optional<std::string> inValue)
+    {
+        topic &target = topics[inTopic];
+        target.records.push_back({inKey, std::move(inValue), target.end++});
+    }
+
+    /// Drops the history, but for the newest record of each key.
+    void compact(const std::string &inTopic) { topics[inTopic].first = topics[inTopic].end; }
+
+    std::map<std::string, topic> topics;
+    bool away = false;
+    int newestReads = 0;
+
+private:
+    store::read_result::status status() const
+    {
+        return away ? store::read_result::status::unavailable : store::read_result::status::done;
+    }
+
+    void answer(read_handler inHandler, store::read_result inResult)
+    {
+        mTimers.push_back(std::make_unique<kernel::timer>(
+            mLoop,
+            [handler = std::move(inHandler), result = std::move(inResult)] { handler(result); }));
+        mTimers.back()->startOnce(2ms);
+    }
+
+    kernel::event_loop &mLoop;
+    std::vector<std::unique_ptr<kernel::timer>> mTimers;
+};
+
+std::string configuration(int inVersion)
+{
+    return R"({"version":)" + std::to_string(inVersion) + R"(,"routes":[]})";
+}
+
+std::string entry(const std::string &inState = "ready")
+{
+    return R"({"service":"s","address":"10.0.0.9:80","zone":"z","capacity":1,"state":")" + inState
+        + R"("})";
+}
+
+struct catalog_fixture
+{
+    kernel::event_loop loop;
+    core::metrics metrics;
+    kernel::service_registry registry{loop};
+    mock_store *store = nullptr;
+    std::vector<std::uint64_t> versions;
+    std::vector<std::string> events;
+
+    catalog_fixture()
+    {
+        auto created = std::make_unique<mock_store>(loop);
+        store = created.get();
+        registry.add(std::make_unique<catalog::catalog_service<mock_store>>(
+            registry, metrics, std::move(created),
+            catalog::catalog_settings{.operatorTopic = platform::cOperatorTopic,
+                                      .endpointTopic = platform::cEndpointTopic,
+                                      .fleetTopic = "keyed.fleet",
+                                      .endpointPause = 20ms}));
+        registry.handle<catalog::configuration_changed>(
+            "test", [this](const catalog::configuration_changed &inChanged) {
+                versions.push_back(inChanged.table->version());
+            });
+        registry.handle<catalog::endpoint_changed>(
+            "test", [this](const catalog::endpoint_changed &inChanged) {
+                events.push_back((inChanged.entry.leaving ? "leaving " : "ready ")
+                                 + inChanged.entry.id);
+            });
+        registry.handle<catalog::endpoint_removed>(
+            "test", [this](const catalog::endpoint_removed &inRemoved) {
+                events.push_back((inRemoved.mayReturn ? "lapsed " : "removed ") + inRemoved.id);
+            });
+    }
+
+    void run(core::duration inTime)
+    {
+        kernel::timer end(loop, [this] { loop.stop(); });
+        end.startOnce(inTime);
+        loop.run();
+    }
+};
+
+} // namespace
+
+TEST_CASE("the newest configuration comes into force and never goes back")
+{
+    catalog_fixture fixture;
+    fixture.store->put(platform::cOperatorTopic, "config", configuration(7));
+    fixture.registry.startAll();
+    fixture.run(100ms);
+    fixture.store->put(platform::cOperatorTopic, "config", configuration(9));
+    fixture.store->put(platform::cOperatorTopic, "config", configuration(8));
+    fixture.store->put(platform::cOperatorTopic, "config", "not a document");
+    fixture.run(150ms);
+    CHECK(fixture.versions == std::vector<std::uint64_t>{7, 9});
+}
+
+TEST_CASE("a configuration that another instance passes on counts as one from the store")
+{
+    catalog_fixture fixture;
+    fixture.store->put(platform::cOperatorTopic, "config", configuration(7));
+    fixture.registry.startAll();
+    fixture.run(50ms);
+    fixture.registry.post("catalog",
+                          catalog::operator_record_received{{"config", configuration(12), 40}});
+    fixture.registry.post("catalog",
+                          catalog::operator_record_received{{"config", configuration(11), 30}});
+    fixture.run(50ms);
+    CHECK(fixture.versions == std::vector<std::uint64_t>{7, 12});
+}
+
+TEST_CASE("where the history is gone the newest records are read again")
+{
+    catalog_fixture fixture;
+    fixture.store->put(platform::cOperatorTopic, "config", configuration(7));
+    fixture.registry.startAll();
+    fixture.run(50ms);
+    const int before = fixture.store->newestReads;
+    fixture.store->put(platform::cOperatorTopic, "config", configuration(8));
+    fixture.store->compact(platform::cOperatorTopic);
+    fixture.run(100ms);
+    CHECK(fixture.store->newestReads > before);
+    CHECK(fixture.versions.back() == 8);
+}
+
+TEST_CASE("an entry that lapsed while the store was away may return, another one is gone")
+{
+    catalog_fixture fixture;
+    fixture.store->put(platform::cEndpointTopic, "e1", entry());
+    fixture.store->put(platform::cEndpointTopic, "e2", entry());
+    fixture.registry.startAll();
+    fixture.run(100ms);
+    fixture.store->put(platform::cEndpointTopic, "e1", entry("draining"));
+    fixture.store->put(platform::cEndpointTopic, "e1", std::nullopt);
+    fixture.run(100ms);
+    CHECK(fixture.events
+          == std::vector<std::string>{"ready e1", "ready e2", "leaving e1", "removed e1"});
+    fixture.store->away = true;
+    fixture.run(2500ms);
+    fixture.store->put(platform::cEndpointTopic, "e2", std::nullopt);
+    fixture.store->away = false;
+    fixture.run(1200ms);
+    CHECK(fixture.events.back() == "lapsed e2");
+}
+
+TEST_CASE("an entry that can't be read removes its endpoint and leaves the others")
+{
+    catalog_fixture fixture;
+    fixture.store->put(platform::cEndpointTopic, "e1", entry());
+    fixture.registry.startAll();
+    fixture.run(100ms);
+    fixture.store->put(platform::cEndpointTopic, "e1", "\xff");
+    fixture.run(100ms);
+    CHECK(fixture.events == std::vector<std::string>{"ready e1", "removed e1"});
+}
--- /dev/null
+++ b/tests/unit/engines_endpoint_choice_test.cpp
@@ -0,0 +1,162 @@
+// Guards against requests that wait where they need not: behind a backlog, for a load that another
+// engine does not need, or at an endpoint that is leaving or was replaced.
+
+#include "corneltally/engines/endpoint_book.h"
+#include "corneltally/engines/endpoint_choice.h"
+
+#include <string>
+
+#include <catch2/catch.hpp>
+
+using namespace corneltally;
+using namespace std::chrono_literals;
+using engines::endpoint_choice;
+
+namespace {
+
+const core::time_point cStart{1h};
+
+engines::endpoint_entry engineEntry(const std::string &inId, std::uint64_t inStartedMs = 1)
+{
+    return {.id = inId,
+            .service = "models",
+            .address = {"10.0.0.1", 80},
+            .failureDomain = "north",
+            .capacity = 64,
+            .startedMs = inStartedMs,
+            .models = {{.name = "base"}}};
+}
+
+struct three_engines
+{
+    engines::endpoint_book book;
+
+    three_engines()
+    {
+        for (const std::string id : {"e1", "e2", "e3"}) {
+            book.apply(engineEntry(id), cStart);
+            report(id, {});
+        }
+    }
+
+    void report(const std::string &inId, engines::residency inAdapters)
+    {
+        book.applyHolderReport(inId, 1, "holder", true, std::move(inAdapters), {"base"}, cStart);
+    }
+
+    std::optional<endpoint_choice> choose(const engines::work_request &inRequest)
+    {
+        return engines::chooseEndpoint(book, inRequest, "north", {}, cStart);
+    }
+};
+
+engines::work_request adapterRequest(double inPromptTokens = 4000)
+{
+    return {.service = "models",
+            .engineMemory = 250'000,
+            .engineBatch = 64,
+            .model = "base",
+            .adapter = "a1",
+            .promptTokens = inPromptTokens};
+}
+
+} // namespace
+
+TEST_CASE("an engine that has the adapter is preferred to one that has to load it")
+{
+    three_engines fleet;
+    fleet.report("e2", {.resident = {{"base/a1", 1}}});
+    const auto choice = fleet.choose(adapterRequest());
+    REQUIRE(choice);
+    CHECK(choice->endpoint == "e2");
+    CHECK(choice->state == endpoint_choice::readiness::ready);
+}
+
+TEST_CASE("a long backlog costs more than a load elsewhere")
+{
+    three_engines fleet;
+    fleet.report("e2", {.resident = {{"base/a1", 1}}});
+    fleet.book.find("e2")->own.promptTokens = 100'000;
+    const auto choice = fleet.choose(adapterRequest());
+    REQUIRE(choice);
+    CHECK(choice->endpoint != "e2");
+    CHECK(choice->state == endpoint_choice::readiness::to_load);
+}
+
+TEST_CASE("the load that other instances have counts, until it is old")
+{
+    three_engines fleet;
+    fleet.report("e2", {.resident = {{"base/a1", 1}}});
+    fleet.book.applyPeerLoads("other", {{"e2", {.requests = 20, .promptTokens = 100'000}}}, cStart);
+    CHECK(fleet.choose(adapterRequest())->endpoint != "e2");
+    CHECK(engines::chooseEndpoint(fleet.book, adapterRequest(), "north", {}, cStart + 3s)->endpoint
+          == "e2");
+}
+
+TEST_CASE("an older version of the adapter does not serve")
+{
+    three_engines fleet;
+    fleet.report("e2", {.resident = {{"base/a1", 1}}});
+    fleet.report("e3", {.resident = {{"base/a1", 2}}});
+    engines::work_request request = adapterRequest();
+    request.version = 2;
+    CHECK(fleet.choose(request)->endpoint == "e3");
+}
+
+TEST_CASE("engines whose holder may not order get only what they have")
+{
+    three_engines fleet;
+    for (const std::string id : {"e1", "e2", "e3"})
+        fleet.book.find(id)->holderReady = false;
+    CHECK_FALSE(fleet.choose(adapterRequest()));
+    fleet.book.find("e1")->adapters.resident["base/a1"] = 1;
+    CHECK(fleet.choose(adapterRequest())->endpoint == "e1");
+}
+
+TEST_CASE("leaving and removed endpoints get nothing, lapsed ones for a while")
+{
+    three_engines fleet;
+    engines::endpoint_entry leaving = engineEntry("e1");
+    leaving.leaving = true;
+    fleet.book.apply(leaving, cStart);
+    fleet.book.remove("e2", false, cStart);
+    fleet.book.remove("e3", true, cStart);
+    const auto usable = [&](const std::string &inId, core::duration inLater) {
+        return fleet.book.usable(*fleet.book.find(inId), cStart + inLater);
+    };
+    CHECK_FALSE(usable("e1", 0s));
+    CHECK_FALSE(usable("e2", 0s));
+    CHECK(usable("e3", 2s));
+    CHECK_FALSE(usable("e3", 3s));
+}
+
+TEST_CASE("a new start under the same id has nothing of the former one")
+{
+    three_engines fleet;
+    fleet.report("e1", {.resident = {{"base/a1", 1}}});
+    fleet.book.find("e1")->own.requests = 5;
+    CHECK(fleet.book.apply(engineEntry("e1", 2), cStart));
+    CHECK(fleet.book.find("e1")->adapters.resident.empty());
+    CHECK(fleet.book.find("e1")->own.requests == 0);
+    // The holder still speaks of the former start.
+    fleet.report("e1", {.resident = {{"base/a1", 1}}});
+    CHECK(fleet.book.find("e1")->adapters.resident.empty());
+}
+
+TEST_CASE("a plain service's request stays in its failure domain while there is room")
+{
+    engines::endpoint_book book;
+    for (const auto &[id, domain] :
+         {std::pair("s1", "north"), std::pair("s2", "south"), std::pair("s3", "west")})
+        book.apply({.id = id,
+                    .service = "shop",
+                    .address = {"10.0.0.1", 80},
+                    .failureDomain = domain,
+                    .capacity = 4,
+                    .startedMs = 1},
+                   cStart);
+    const engines::work_request request{.service = "shop"};
+    CHECK(engines::chooseEndpoint(book, request, "south", {}, cStart)->endpoint == "s2");
+    book.find("s2")->own.requests = 6;
+    CHECK(engines::chooseEndpoint(book, request, "south", {}, cStart)->endpoint != "s2");
+}
--- /dev/null
+++ b/tests/unit/fleet_codec_test.cpp
@@ -0,0 +1,68 @@
+// Guards against messages of other instances that are read wrongly or are damaged.
+
+#include "corneltally/fleet/fleet_codec.h"
+#include "corneltally/fleet/fleet_records.h"
+
+#include <catch2/catch.hpp>
+
+using namespace corneltally;
+using namespace std::chrono_literals;
+
+namespace {
+
+const core::time_point cNow{1h};
+
+void checkRoundTrip(const fleet::message &inMessage)
+{
+    const auto decoded = fleet::decode(fleet::encode(inMessage, cNow), cNow);
+    REQUIRE(decoded);
+    CHECK(*decoded == inMessage);
+}
+
+} // namespace
+
+TEST_CASE("each message arrives as it was sent")
+{
+    checkRoundTrip(fleet::hello{"a", "10.0.0.1", "10.0.0.1:80", 7, 12});
+    checkRoundTrip(fleet::heartbeat{.operatorEnd = 4,
+                                    .draining = true,
+                                    .heard = {"b", "c"},
+                                    .accountUses = {{"north", 12.5}},
+                                    .loads = {{"e1", {3, 100, 200}}},
+                                    .adapterUses = {{"e1", "base/a1"}},
+                                    .adaptersRunning = {{"e1", "base/a2"}}});
+    checkRoundTrip(fleet::load_wanted{"e1", 5, "base", "a1", 2, 900});
+    checkRoundTrip(fleet::adapter_missing{"e1", 5, "base/a1"});
+    checkRoundTrip(fleet::engine_state{
+        "e1", 5, true, {{{"base/a1", 1}}, {{"base/a2", {3, cNow + 250ms}}}}, {"base"}});
+    checkRoundTrip(fleet::operator_record{"config", 9, std::string("\0{}", 3)});
+    checkRoundTrip(fleet::operator_record{"gone", 9, std::nullopt});
+}
+
+TEST_CASE("the time that is left is sent, since clocks differ")
+{
+    const fleet::engine_state state{"e1", 5, true, {{}, {{"base/a2", {3, cNow + 250ms}}}}, {}};
+    const auto decoded = fleet::decode(fleet::encode(state, cNow), cNow + 1h);
+    CHECK(std::get<fleet::engine_state>(*decoded).adapters.arriving.at("base/a2").readyAt
+          == cNow + 1h + 250ms);
+}
+
+TEST_CASE("damaged bytes are no message")
+{
+    std::string bytes = fleet::encode(fleet::hello{"a", "m", "x:1", 7, 12}, cNow);
+    CHECK_FALSE(fleet::decode("", cNow));
+    CHECK_FALSE(fleet::decode(bytes.substr(0, bytes.size() / 2), cNow));
+}
+
+TEST_CASE("records of the instances keep their contents, and a claim gets its place as fence")
+{
+    const fleet::member member{"a", "10.0.0.1", "10.0.0.1:80", 7};
+    CHECK(fleet::decodeMember(fleet::memberRecord(member)) == member);
+    store::record record = fleet::claimRecord("e1", {"a", "10.0.0.1", 7, 0});
+    record.offset = 41;
+    CHECK(fleet::claimedEngine(record) == "e1");
+    CHECK(fleet::decodeClaim(record) == orders::claim{"a", "10.0.0.1", 7, 42});
+    CHECK_FALSE(fleet::decodeClaim(fleet::removedClaim("e1")));
+    record.value = "not json";
+    CHECK_FALSE(fleet::decodeClaim(record));
+}
--- /dev/null
+++ b/tests/unit/forwarding_front_test.cpp
@@ -0,0 +1,455 @@
+// Guards the way of a request with real connections: what callers and endpoints see when an
+// endpoint refuses, fails, breaks off, is silent or answers late, and when a caller leaves.
+
+#include "corneltally/catalog/catalog_messages.h"
+#include "corneltally/core/digest.h"
+#include "corneltally/core/metrics.h"
+#include "corneltally/forwarding/front_service.h"
+#include "corneltally/http1/client_connection.h"
+#include "corneltally/kernel/event_loop.h"
+#include "corneltally/kernel/service_registry.h"
+#include "corneltally/kernel/timer.h"
+#include "corneltally/orders/order_messages.h"
+#include "corneltally/routing/routing_table.h"
+#include "platform/names.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <catch2/catch.hpp>
+
+using namespace corneltally;
+using namespace std::chrono_literals;
+
+namespace {
+
+const std::string cSealed = "HTTP/1.1 200 OK\r\n" + std::string(platform::cSealField)
+    + ": s1\r\nContent-Length: 2\r\n\r\nok";
+const std::string cRefused = "HTTP/1.1 503 Service Unavailable\r\n"
+    + std::string(platform::cNotExecutedField) + ": 1\r\nContent-Length: 0\r\n\r\n";
+const std::string cFailed = "HTTP/1.1 500 Failed\r\n" + std::string(platform::cSealField)
+    + ": s1\r\nContent-Length: 3\r\n\r\nbad";
+const std::string cStreamHead = "HTTP/1.1 200 OK\r\n" + std::string(platform::cSealField)
+    + ": s1\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+std::string chunk(const std::string &inData)
+{
+    std::array<char, 16> size{};
+    std::snprintf(size.data(), size.size(), "%zx\r\n", inData.size());
+    return size.data() + inData + "\r\n";
+}
+
+/// What an endpoint does with the next request.
+struct scripted_answer
+{
+    std::string bytes;
+    bool closes = false;
+};
+
+struct endpoint_server
+{
+    kernel::event_loop &loop;
+    std::vector<scripted_answer> script;
+    std::vector<std::string> requests;
+    std::vector<std::unique_ptr<http1::socket_stream>> streams;
+    int ended = 0;
+    http1::listener listener{loop, [this](int inSocket) { accept(inSocket); }};
+
+    explicit endpoint_server(kernel::event_loop &inLoop)
+        : loop(inLoop)
+    {
+        REQUIRE(listener.listen({"127.0.0.1", 0}));
+    }
+
+    void accept(int inSocket)
+    {
+        streams.push_back(std::make_unique<http1::socket_stream>(loop, inSocket, 5s));
+        http1::socket_stream *stream = streams.back().get();
+        stream->setEvents({.onConnected = {},
+                           .onInput =
+                               [this, stream] {
+                                   requests.emplace_back(stream->input());
+                                   stream->consume(stream->input().size());
+                                   if (script.empty())
+                                       return;
+                                   const scripted_answer answer = script.front();
+                                   script.erase(script.begin());
+                                   stream->write(answer.bytes);
+                                   if (answer.closes)
+                                       stream->shutdownWrite();
+                               },
+                           .onDrained = {},
+                           .onEnd =
+                               [this, stream](http1::stream_end) {
+                                   ++ended;
+                                   stream->close();
+                               }});
+    }
+};
+
+struct caller_view
+{
+    int status = 0;
+    http1::header_fields fields;
+    std::string body;
+    http1::exchange_end end;
+};
+
+struct front_fixture
+{
+    kernel::event_loop loop;
+    core::metrics metrics;
+    kernel::service_registry registry{loop};
+    endpoint_server first{loop};
+    endpoint_server second{loop};
+    forwarding::front_service &front{registry.add(std::make_unique<forwarding::front_service>(
+        registry, metrics,
+        forwarding::front_options{.instance = "a",
+                                  .failureDomain = "north",
+                                  .listen = {"127.0.0.1", 0},
+                                  .retries = {.ratio = 0.2, .slack = 100}}))};
+    kernel::timer limit{loop, [this] { loop.stop(); }};
+    std::map<std::string, fleet::load_wanted> wanted;
+
+    front_fixture()
+    {
+        REQUIRE(front.listen());
+        registry.handle<orders::local_load_wanted>(
+            "orders", [this](const orders::local_load_wanted &inWanted) {
+                wanted[inWanted.wanted.endpoint] = inWanted.wanted;
+                engineState({{}, {{"base/a1", {0, core::boot_clock::now() + 50ms}}}});
+            });
+        front.start();
+        limit.startOnce(20s);
+    }
+
+    void configure(routing::repetition inKind, int inMaxEndpoints,
+                   std::chrono::milliseconds inTimeout = 2s)
+    {
+        routing::configuration configuration{
+            .version = 1,
+            .routes = {{.name = "r",
+                        .host = "shop.example",
+                        .pathPrefix = "/a/",
+                        .kind = inKind,
+                        .timeout = inTimeout,
+                        .maxEndpoints = inMaxEndpoints,
+                        .services = {{"shop", 1}}},
+                       {.name = "lm",
+                        .host = "shop.example",
+                        .pathPrefix = "/lm/",
+                        .kind = inKind,
+                        .timeout = inTimeout,
+                        .maxEndpoints = inMaxEndpoints,
+                        .services = {{"models", 1}}}},
+            .services = {{.name = "shop"},
+                         {.name = "models", .engine = routing::engine_profile{.batch = 64}}},
+            .accounts = {{.name = "north",
+                          .keyDigests = {core::sha256Hex("k1")},
+                          .ratePerSecond = 1000,
+                          .burst = 10'000}},
+            .keysRequired = true};
+        registry.broadcast(catalog::configuration_changed{
+            std::make_shared<const routing::routing_table>(std::move(configuration))});
+        announce("e1", "shop", first);
+        announce("e2", "shop", second);
+        announce("m1", "models", first);
+        registry.broadcast(catalog::endpoints_listed{{"e1", "e2", "m1"}, false});
+        settle(300ms);
+    }
+
+    void announce(const std::string &inId, const std::string &inService, endpoint_server &inServer)
+    {
+        registry.broadcast(catalog::endpoint_changed{
+            {.id = inId,
+             .service = inService,
+             .address = {"127.0.0.1", inServer.listener.port()},
+             // The first endpoint is in the instance's own failure domain and so is preferred.
+             .failureDomain = &inServer == &first ? "north" : "south",
+             .capacity = 4,
+             .startedMs = 1}});
+    }
+
+    void engineState(engines::residency inAdapters)
+    {
+        registry.broadcast(orders::held_engine_changed{{.endpoint = "m1",
+                                                        .startedMs = 1,
+                                                        .ready = true,
+                                                        .adapters = std::move(inAdapters),
+                                                        .models = {"base"}}});
+    }
+
+    void settle(core::duration inTime)
+    {
+        kernel::timer end(loop, [this] { loop.stop(); });
+        end.startOnce(inTime);
+        loop.run();
+    }
+
+    std::unique_ptr<http1::client_connection> connect()
+    {
+        return std::make_unique<http1::client_connection>(
+            loop, http1::address{"127.0.0.1", front.port()}, 5s);
+    }
+
+    void send(http1::client_connection &ioCaller, caller_view &outView, std::string inPath,
+              http1::header_fields inMore = {})
+    {
+        http1::request_head head{.method = "POST", .target = std::move(inPath)};
+        head.fields = {{"Host", "shop.example"},
+                       {std::string(platform::cRequestIdField), "id1"},
+                       {std::string(platform::cAuthorizationField), "Token k1"},
+                       {"Content-Length", "4"}};
+        for (auto &field : inMore)
+            http1::setField(head.fields, field.first, field.second);
+        ioCaller.start(
+            head, "body",
+            {.accepts = {},
+             .onHead =
+                 [&outView](const http1::response_head &inHead) {
+                     outView.status = inHead.status;
+                     outView.fields = inHead.fields;
+                 },
+             .onBody = [&outView](std::string_view inData) { outView.body.append(inData); },
+             .onEnd =
+                 [this, &outView](const http1::exchange_end &inEnd) {
+                     outView.end = inEnd;
+                     loop.stop();
+                 }});
+    }
+
+    caller_view call(const std::string &inPath = "/a/1", http1::header_fields inMore = {})
+    {
+        const auto caller = connect();
+        caller_view view;
+        send(*caller, view, inPath, std::move(inMore));
+        loop.run();
+        return view;
+    }
+};
+
+using kind = http1::exchange_end::kind;
+using routing::repetition;
+
+} // namespace
+
+TEST_CASE("a request is passed on unchanged but for key, tenant, deadline and endpoint")
+{
+    front_fixture fixture;
+    fixture.configure(repetition::once, 1);
+    fixture.first.script = {{cSealed}};
+    const caller_view view = fixture.call("/a/1?q=%20x", {{"X-Other", "v"}});
+    CHECK(view.status == 200);
+    CHECK(view.body == "ok");
+    CHECK(http1::findField(view.fields, platform::cSealField) == "s1");
+    REQUIRE(fixture.first.requests.size() == 1);
+    const std::string &seen = fixture.first.requests[0];
+    CHECK(seen.starts_with("POST /a/1?q=%20x HTTP/1.1\r\n"));
+    CHECK(seen.find("X-Other: v\r\n") != std::string::npos);
+    CHECK(seen.ends_with("\r\n\r\nbody"));
+    CHECK(seen.find("k1") == std::string::npos);
+    CHECK(seen.find("Tenant: north\r\n") != std::string::npos);
+    CHECK(seen.find("Expect-Instance: e1\r\n") != std::string::npos);
+}
+
+TEST_CASE("unknown routes, unknown keys and a missing configuration are told apart")
+{
+    front_fixture fixture;
+    CHECK(fixture.call().status == 503);
+    fixture.configure(repetition::once, 1);
+    CHECK(fixture.call("/b/1").status == 404);
+    CHECK(fixture.call("/a/1", {{std::string(platform::cAuthorizationField), "Token k9"}}).status
+          == 401);
+    CHECK(fixture.first.requests.empty());
+}
+
+TEST_CASE("a request beyond the account's rate is refused and says when to come back")
+{
+    front_fixture fixture;
+    fixture.configure(repetition::once, 1);
+    routing::configuration tight = {.version = 2,
+                                    .routes = {{.name = "r",
+                                                .host = "shop.example",
+                                                .pathPrefix = "/a/",
+                                                .timeout = 2s,
+                                                .services = {{"shop", 1}}}},
+                                    .services = {{.name = "shop"}},
+                                    .accounts = {{.name = "north",
+                                                  .keyDigests = {core::sha256Hex("k1")},
+                                                  .ratePerSecond = 0.5,
+                                                  .burst = 1}},
+                                    .keysRequired = true};
+    fixture.registry.broadcast(catalog::configuration_changed{
+        std::make_shared<const routing::routing_table>(std::move(tight))});
+    fixture.settle(100ms);
+    fixture.first.script = {{cSealed}, {cSealed}};
+    CHECK(fixture.call().status == 200);
+    const caller_view view = fixture.call();
+    CHECK(view.status == 429);
+    CHECK(http1::findField(view.fields, "Retry-After").has_value());
+}
+
+TEST_CASE("an explicit refusal is sent to another endpoint, within the limit of endpoints")
+{
+    front_fixture fixture;
+    fixture.configure(repetition::once, 2);
+    fixture.first.script = {{cRefused}};
+    fixture.second.script = {{cSealed}};
+    CHECK(fixture.call().status == 200);
+    fixture.configure(repetition::once, 1);
+    fixture.first.script = {{cRefused}};
+    const caller_view view = fixture.call();
+    CHECK(view.status == 503);
+    CHECK(http1::findField(view.fields, "Retry-After").has_value());
+    CHECK(fixture.second.requests.size() == 1);
+}
+
+TEST_CASE("a request that runs once and whose connection broke is answered as unknown")
+{
+    front_fixture fixture;
+    fixture.configure(repetition::once, 3);
+    fixture.first.script = {{"", true}};
+    fixture.second.script = {{cSealed}};
+    CHECK(fixture.call().status == 502);
+    CHECK(fixture.second.requests.empty());
+}
+
+TEST_CASE("a repeatable request whose connection broke or which failed goes to another endpoint")
+{
+    front_fixture fixture;
+    fixture.configure(repetition::repeatable, 2);
+    fixture.first.script = {{"", true}};
+    fixture.second.script = {{cSealed}};
+    CHECK(fixture.call().status == 200);
+    fixture.first.script = {{cFailed}};
+    fixture.second.script = {{cSealed}};
+    CHECK(fixture.call().status == 200);
+}
+
+TEST_CASE("an endpoint's failure is passed on with its seal where it may not be repeated")
+{
+    front_fixture fixture;
+    fixture.configure(repetition::once, 2);
+    fixture.first.script = {{cFailed}};
+    const caller_view view = fixture.call();
+    CHECK(view.status == 500);
+    CHECK(view.body == "bad");
+    CHECK(http1::findField(view.fields, platform::cSealField) == "s1");
+}
+
+TEST_CASE("an unsealed success, a cut one and one in an encoding are not passed on")
+{
+    front_fixture fixture;
+    fixture.configure(repetition::once, 1);
+    for (const std::string &answer :
+         {std::string("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"),
+          cSealed.substr(0, cSealed.size() - 1), std::string("garbage\r\n\r\n"),
+          "HTTP/1.1 200 OK\r\nContent-Encoding: gzip\r\n" + cSealed.substr(17)}) {
+        // After some failures the first endpoint gets probes only.
+        fixture.first.script = {{answer, true}};
+        fixture.second.script = {{answer, true}};
+        CHECK(fixture.call().status == 502);
+    }
+}
+
+TEST_CASE("a refusal without the endpoint's statement is no promise for a request that runs once")
+{
+    front_fixture fixture;
+    fixture.configure(repetition::once, 1);
+    fixture.first.script = {{"HTTP/1.1 503 Busy\r\n" + std::string(platform::cSealField)
+                             + ": s\r\nContent-Length: 0\r\n\r\n"}};
+    CHECK(fixture.call().status == 502);
+}
+
+TEST_CASE("a silent endpoint ends in an unknown outcome at the route's time, its work is cancelled")
+{
+    front_fixture fixture;
+    fixture.configure(repetition::once, 1, 300ms);
+    CHECK(fixture.call().status == 504);
+    fixture.settle(100ms);
+    CHECK(fixture.first.ended == 1);
+}
+
+TEST_CASE("a caller that leaves has its work cancelled")
+{
+    front_fixture fixture;
+    fixture.configure(repetition::once, 1);
+    auto caller = fixture.connect();
+    caller_view view;
+    fixture.send(*caller, view, "/a/1");
+    fixture.settle(200ms);
+    REQUIRE(fixture.first.requests.size() == 1);
+    caller.reset();
+    fixture.settle(200ms);
+    CHECK(fixture.first.ended == 1);
+    CHECK(fixture.front.running() == 0);
+}
+
+TEST_CASE("events are passed on whole, and a stream that breaks off does not look complete")
+{
+    front_fixture fixture;
+    fixture.configure(repetition::once_stream, 2);
+    fixture.first.script = {{cStreamHead + chunk("id: 1\ndata: a\n\n") + chunk("id: 2\nda"), true}};
+    const caller_view cut = fixture.call();
+    CHECK(cut.status == 200);
+    CHECK(cut.body == "id: 1\ndata: a\n\n");
+    CHECK(cut.end.outcome == kind::broken);
+    fixture.first.script = {{cStreamHead + chunk("id: 1\ndata: a\n\n") + "0\r\n\r\n"}};
+    CHECK(fixture.call().end.outcome == kind::complete);
+}
+
+TEST_CASE("a resumable stream goes on at another endpoint behind the last whole event")
+{
+    front_fixture fixture;
+    fixture.configure(repetition::resumable_stream, 2);
+    fixture.first.script
+        = {{cStreamHead + chunk("id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda"), true}};
+    fixture.second.script
+        = {{cStreamHead + chunk("id: 2\ndata: b\n\nid: 3\ndata: c\n\n") + "0\r\n\r\n"}};
+    const caller_view view = fixture.call();
+    CHECK(view.end.outcome == kind::complete);
+    CHECK(view.body == "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n");
+    REQUIRE(fixture.second.requests.size() == 1);
+    CHECK(fixture.second.requests[0].find("Last-Event-Id: 2\r\n") != std::string::npos);
+}
+
+TEST_CASE("a stream that can't go on is cut, without an answer of the instance's own in it")
+{
+    front_fixture fixture;
+    fixture.configure(repetition::resumable_stream, 2);
+    fixture.first.script = {{cStreamHead + chunk("id: 1\ndata: a\n\n"), true}};
+    fixture.second.script = {{cRefused}};
+    const caller_view view = fixture.call();
+    CHECK(view.body == "id: 1\ndata: a\n\n");
+    CHECK(view.end.outcome == kind::broken);
+}
+
+TEST_CASE("a request waits for its adapter's load and is sent when it is there")
+{
+    front_fixture fixture;
+    fixture.configure(repetition::once_stream, 1);
+    fixture.engineState({});
+    fixture.settle(50ms);
+    fixture.first.script = {{cStreamHead + chunk("id: 1\ndata: a\n\n") + "0\r\n\r\n"}};
+    const caller_view view
+        = fixture.call("/lm/1", {{std::string(platform::cModelField), "base/a1"}});
+    CHECK(view.status == 200);
+    CHECK(fixture.wanted.contains("m1"));
+}
+
+TEST_CASE("a draining instance answers what arrives and asks for the end of the connection")
+{
+    front_fixture fixture;
+    fixture.configure(repetition::once, 1);
+    CHECK(fixture.front.ready());
+    fixture.front.beginDrain();
+    CHECK_FALSE(fixture.front.ready());
+    fixture.first.script = {{cSealed}};
+    const caller_view view = fixture.call();
+    CHECK(view.status == 200);
+    CHECK(http1::findField(view.fields, "Connection") == "close");
+}
--- /dev/null
+++ b/tests/unit/forwarding_rules_test.cpp
@@ -0,0 +1,102 @@
+// Guards against requests that run twice, refusals that are not true, and streams that are joined
+// wrongly.
+
+#include "corneltally/forwarding/attempt_rules.h"
+#include "corneltally/forwarding/event_splitter.h"
+
+#include <catch2/catch.hpp>
+
+using namespace corneltally;
+using namespace std::chrono_literals;
+using forwarding::attempt_end;
+using forwarding::attempt_facts;
+using forwarding::next_step;
+using forwarding::run_statement;
+using forwarding::statementAfter;
+using forwarding::stepAfter;
+using routing::repetition;
+
+TEST_CASE("a request that may have run is never refused, and sent again only if it may be repeated")
+{
+    for (const repetition kind : {repetition::once, repetition::once_stream}) {
+        const attempt_facts facts{.end = attempt_end::broken,
+                                  .kind = kind,
+                                  .endpointsUsed = 1,
+                                  .maxEndpoints = 3,
+                                  .timeLeft = 1s};
+        CHECK(statementAfter(facts) == run_statement::unknown);
+        CHECK(stepAfter(facts) == next_step::answer_unknown);
+    }
+    const attempt_facts repeatable{.end = attempt_end::broken,
+                                   .kind = repetition::repeatable,
+                                   .endpointsUsed = 1,
+                                   .maxEndpoints = 3,
+                                   .timeLeft = 1s};
+    CHECK(stepAfter(repeatable) == next_step::try_other);
+}
+
+TEST_CASE("an explicit refusal keeps the statement of the attempts before it")
+{
+    attempt_facts facts{.end = attempt_end::refused,
+                        .kind = repetition::repeatable,
+                        .endpointsUsed = 2,
+                        .maxEndpoints = 2,
+                        .timeLeft = 1s};
+    CHECK(statementAfter(facts) == run_statement::not_run);
+    CHECK(stepAfter(facts) == next_step::refuse);
+    facts.before = run_statement::unknown;
+    CHECK(statementAfter(facts) == run_statement::unknown);
+    CHECK(stepAfter(facts) == next_step::answer_unknown);
+}
+
+TEST_CASE("an attempt that reached nobody does not use up an endpoint")
+{
+    const attempt_facts facts{.end = attempt_end::not_sent,
+                              .kind = repetition::once,
+                              .endpointsUsed = 1,
+                              .maxEndpoints = 1,
+                              .timeLeft = 1s};
+    CHECK(stepAfter(facts) == next_step::try_other);
+}
+
+TEST_CASE("an endpoint's own failure is passed on where it may not be repeated")
+{
+    attempt_facts facts{.end = attempt_end::failure_answered,
+                        .kind = repetition::once,
+                        .endpointsUsed = 1,
+                        .maxEndpoints = 3,
+                        .timeLeft = 1s};
+    CHECK(stepAfter(facts) == next_step::pass_failure);
+    facts.kind = repetition::repeatable;
+    CHECK(stepAfter(facts) == next_step::try_other);
+    facts.timeLeft = 1ms;
+    CHECK(stepAfter(facts) == next_step::pass_failure);
+}
+
+TEST_CASE("an answer that was begun goes on or is cut")
+{
+    attempt_facts facts{.end = attempt_end::broken,
+                        .kind = repetition::resumable_stream,
+                        .endpointsUsed = 1,
+                        .maxEndpoints = 2,
+                        .answerBegun = true,
+                        .timeLeft = 1s};
+    CHECK(stepAfter(facts) == next_step::try_other);
+    facts.endpointsUsed = 2;
+    CHECK(stepAfter(facts) == next_step::abort);
+    facts.kind = repetition::once_stream;
+    facts.endpointsUsed = 1;
+    CHECK(stepAfter(facts) == next_step::abort);
+}
+
+TEST_CASE("a stream is cut into whole events")
+{
+    forwarding::event_splitter splitter;
+    CHECK(splitter.feed("id: 1\ndata: a\n").empty());
+    const auto events = splitter.feed("\nversions: 2\r\nid:2\r\ndata: b\r\n\r\nid: 3\nda");
+    REQUIRE(events.size() == 2);
+    CHECK(events[0].id == "1");
+    CHECK(events[0].bytes == "id: 1\ndata: a\n\n");
+    CHECK(events[1].id == "2");
+    CHECK(splitter.rest() == "id: 3\nda");
+}
--- /dev/null
+++ b/tests/unit/http1_connections_test.cpp
@@ -0,0 +1,202 @@
+// Guards against answers that reach the wrong request, and against answers that are cut when their
+// connection closes.
+
+#include "corneltally/http1/client_connection.h"
+#include "corneltally/http1/connection_pool.h"
+#include "corneltally/http1/listener.h"
+#include "corneltally/http1/server_connection.h"
+#include "corneltally/kernel/event_loop.h"
+#include "corneltally/kernel/timer.h"
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <catch2/catch.hpp>
+
+using namespace corneltally;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// A server that sends given bytes for each request, and a client on the same loop.
+struct scripted_server
+{
+    kernel::event_loop loop;
+    std::vector<std::string> answers;
+    bool closeAfterAnswer = false;
+    std::vector<std::unique_ptr<http1::socket_stream>> streams;
+    http1::listener listener{loop, [this](int inSocket) { accept(inSocket); }};
+    kernel::timer limit{loop, [this] { loop.stop(); }};
+    int connections = 0;
+    std::string received;
+
+    scripted_server()
+    {
+        REQUIRE(listener.listen({"127.0.0.1", 0}));
+        limit.startOnce(20s);
+    }
+
+    void accept(int inSocket)
+    {
+        ++connections;
+        streams.push_back(std::make_unique<http1::socket_stream>(loop, inSocket, 5s));
+        http1::socket_stream *stream = streams.back().get();
+        stream->setEvents({.onConnected = {},
+                           .onInput =
+                               [this, stream] {
+                                   received.append(stream->input());
+                                   stream->consume(stream->input().size());
+                                   if (answers.empty())
+                                       return;
+                                   stream->write(answers.front());
+                                   answers.erase(answers.begin());
+                                   if (closeAfterAnswer)
+                                       stream->shutdownWrite();
+                               },
+                           .onDrained = {},
+                           .onEnd = [stream](http1::stream_end) { stream->close(); }});
+    }
+
+    struct outcome
+    {
+        int status = 0;
+        std::string body;
+        http1::exchange_end end;
+    };
+
+    outcome exchange(http1::client_connection &ioConnection, const std::string &inId)
+    {
+        outcome result;
+        bool ended = false;
+        ioConnection.start(
+            {.method = "GET", .target = "/", .fields = {{"Host", "x"}}}, "",
+            {.accepts =
+                 [inId](const http1::response_head &inHead) {
+                     return http1::findField(inHead.fields, "Id") == inId;
+                 },
+             .onHead = [&](const http1::response_head &inHead) { result.status = inHead.status; },
+             .onBody = [&](std::string_view inData) { result.body.append(inData); },
+             .onEnd =
+                 [&](const http1::exchange_end &inEnd) {
+                     result.end = inEnd;
+                     ended = true;
+                     loop.stop();
+                 }});
+        loop.run();
+        REQUIRE(ended);
+        return result;
+    }
+
+    std::unique_ptr<http1::client_connection> connect()
+    {
+        return std::make_unique<http1::client_connection>(
+            loop, http1::address{"127.0.0.1", listener.port()}, 2s);
+    }
+};
+
+using kind = http1::exchange_end::kind;
+
+} // namespace
+
+TEST_CASE("an answer with another request's id is dropped")
+{
+    scripted_server server;
+    server.answers = {"HTTP/1.1 200 OK\r\nId: old\r\nContent-Length: 3\r\n\r\noldHTTP/1.1 200 "
+                      "OK\r\nId: a\r\nContent-Length: 3\r\n\r\nnew"};
+    const auto connection = server.connect();
+    const auto result = server.exchange(*connection, "a");
+    CHECK(result.end.outcome == kind::complete);
+    CHECK(result.body == "new");
+}
+
+TEST_CASE("bytes behind an answer make its connection useless")
+{
+    scripted_server server;
+    server.answers
+        = {"HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\nId: a\r\n"};
+    const auto connection = server.connect();
+    CHECK(server.exchange(*connection, "a").end.outcome == kind::complete);
+    CHECK_FALSE(connection->reusable());
+}
+
+TEST_CASE("a cut chunked answer is broken, a body without length ends with its connection")
+{
+    scripted_server server;
+    server.closeAfterAnswer = true;
+    server.answers = {"HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n",
+                      "HTTP/1.1 200 OK\r\nId: a\r\n\r\nabc"};
+    CHECK(server.exchange(*server.connect(), "a").end.outcome == kind::broken);
+    const auto whole = server.exchange(*server.connect(), "a");
+    CHECK(whole.end.outcome == kind::complete);
+    CHECK(whole.body == "abc");
+}
+
+TEST_CASE("a refused connection is told apart from one that broke after the request")
+{
+    scripted_server server;
+    http1::client_connection refused(server.loop, {"127.0.0.1", 1}, 1s);
+    const auto result = server.exchange(refused, "a");
+    CHECK(result.end.outcome == kind::not_connected);
+    CHECK_FALSE(result.end.sent);
+    server.closeAfterAnswer = true;
+    server.answers = {""};
+    const auto connection = server.connect();
+    const auto broken = server.exchange(*connection, "a");
+    CHECK(broken.end.outcome == kind::broken);
+    CHECK(broken.end.sent);
+}
+
+TEST_CASE("a connection is used again only while it is young enough")
+{
+    scripted_server server;
+    server.answers = {"HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 0\r\n\r\n",
+                      "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 0\r\n\r\n"};
+    http1::connection_pool pool(server.loop, {});
+    const http1::address target{"127.0.0.1", server.listener.port()};
+    for (int round = 0; round < 2; ++round) {
+        auto connection = pool.take(target, 10s);
+        server.exchange(*connection, "a");
+        pool.give(std::move(connection));
+    }
+    CHECK(server.connections == 1);
+    CHECK_FALSE(pool.take(target, 0s)->used());
+    CHECK(pool.opened() == 2);
+}
+
+TEST_CASE("an answer is sent whole before its connection closes")
+{
+    kernel::event_loop loop;
+    std::unique_ptr<http1::server_connection> served;
+    http1::listener listener(loop, [&](int inSocket) {
+        served = std::make_unique<http1::server_connection>(loop, inSocket, http1::caller_limits{},
+                                                            5s);
+        served->setEvents({.onRequest =
+                               [&](const http1::server_request &) {
+                                   served->respond({.status = 200}, std::string(100'000, 'x'));
+                               },
+                           .onDrained = {},
+                           .onClosed = {}});
+    });
+    REQUIRE(listener.listen({"127.0.0.1", 0}));
+    http1::client_connection caller(loop, {"127.0.0.1", listener.port()}, 2s);
+    std::size_t bytes = 0;
+    std::optional<http1::exchange_end> end;
+    caller.start(
+        {.method = "GET", .target = "/", .fields = {{"Host", "x"}, {"Connection", "close"}}}, "",
+        {.accepts = {},
+         .onHead = {},
+         .onBody = [&](std::string_view inData) { bytes += inData.size(); },
+         .onEnd =
+             [&](const http1::exchange_end &inEnd) {
+                 end = inEnd;
+                 loop.stop();
+             }});
+    kernel::timer limit(loop, [&] { loop.stop(); });
+    limit.startOnce(20s);
+    loop.run();
+    REQUIRE(end.has_value());
+    CHECK(end->outcome == kind::complete);
+    CHECK(bytes == 100'000);
+}
--- /dev/null
+++ b/tests/unit/limits_fleet_allowance_test.cpp
@@ -0,0 +1,127 @@
+// Guards against an account that gets more than its rate because instances do not know of each
+// other, and against wrongful refusals while they do.
+
+#include "corneltally/limits/fleet_allowance.h"
+#include "corneltally/limits/fleet_retry_budget.h"
+
+#include <array>
+#include <string>
+
+#include <catch2/catch.hpp>
+
+using namespace corneltally;
+using namespace std::chrono_literals;
+
+namespace {
+
+const core::time_point cStart{1h};
+
+/// Two instances that exchange heartbeats unless they are cut off from each other.
+struct two_instances
+{
+    std::array<limits::fleet_allowance, 2> instances;
+    core::time_point now = cStart;
+    bool cut = false;
+
+    two_instances()
+    {
+        for (int index = 0; index < 2; ++index) {
+            instances[index].setPeers({index == 0 ? "b" : "a"}, now);
+            instances[index].configure("north", 1000, 1000, now);
+        }
+    }
+
+    void advance(core::duration inTime)
+    {
+        const core::time_point end = now + inTime;
+        while (now < end) {
+            now += 100ms;
+            if (cut)
+                continue;
+            instances[0].applyPeer("b", 1, instances[1].ownUses(), now);
+            instances[1].applyPeer("a", 1, instances[0].ownUses(), now);
+        }
+    }
+
+    /// Charges as much as is admitted, in pieces of 50.
+    double drain(int inIndex)
+    {
+        double total = 0;
+        while (instances[inIndex].tryCharge("north", 50, now))
+            total += 50;
+        return total;
+    }
+};
+
+} // namespace
+
+TEST_CASE("one busy instance gets the whole rate while the others are idle")
+{
+    two_instances fleet;
+    fleet.advance(3s);
+    double total = fleet.drain(0);
+    CHECK(total == Approx(1000));
+    for (int step = 0; step < 40; ++step) {
+        fleet.advance(100ms);
+        total += fleet.drain(0);
+    }
+    CHECK(total == Approx(5000).epsilon(0.05));
+}
+
+TEST_CASE("instances that are cut off from each other stay within the rate together")
+{
+    two_instances fleet;
+    fleet.advance(3s);
+    fleet.cut = true;
+    fleet.drain(0);
+    double total = 0;
+    fleet.drain(1);
+    for (int step = 0; step < 100; ++step) {
+        fleet.advance(100ms);
+        total += fleet.drain(0) + fleet.drain(1);
+    }
+    // The first second of silence is not yet noticed.
+    CHECK(total <= 1000 * 10 + 1000 * 0.8);
+    CHECK(total >= 1000 * 9);
+}
+
+TEST_CASE("an instance starts empty and forgets its content after a pause")
+{
+    two_instances fleet;
+    CHECK(fleet.drain(0) == 0);
+    fleet.advance(2s);
+    fleet.instances[0].distrust(fleet.now);
+    CHECK(fleet.drain(0) == 0);
+}
+
+TEST_CASE("a lowered limit holds at once, and a charge can be given back")
+{
+    two_instances fleet;
+    fleet.advance(2s);
+    fleet.instances[0].configure("north", 100, 100, fleet.now);
+    CHECK(fleet.drain(0) == Approx(100));
+    fleet.instances[0].giveBack("north", 50);
+    CHECK(fleet.drain(0) == Approx(50));
+}
+
+TEST_CASE("an account without a rate has no limit")
+{
+    limits::fleet_allowance allowance;
+    allowance.configure("open", 0, 0, cStart);
+    CHECK(allowance.tryCharge("open", 1e9, cStart));
+}
+
+TEST_CASE("repeats of all instances stay within the ratio and one common slack")
+{
+    limits::fleet_retry_budget budget({.ratio = 0.2, .window = 10s, .slack = 40, .usable = 1});
+    budget.setInstances(4);
+    core::time_point now = cStart;
+    for (int request = 0; request < 100; ++request)
+        budget.arrived("shop", now);
+    int repeats = 0;
+    while (budget.tryRepeat("shop", now))
+        ++repeats;
+    CHECK(repeats == 30);
+    CHECK_FALSE(budget.tryRepeat("shop", now + 5s));
+    CHECK(budget.tryRepeat("shop", now + 11s));
+}
--- /dev/null
+++ b/tests/unit/orders_engine_keeper_test.cpp
@@ -0,0 +1,254 @@
+// Guards against orders that load more adapters than an engine holds, which makes it crash, and
+// against orders that stop an engine from taking others.
+
+#include "corneltally/orders/engine_keeper.h"
+
+#include <optional>
+#include <string>
+
+#include <catch2/catch.hpp>
+
+using namespace corneltally;
+using namespace std::chrono_literals;
+using engines::engine_order;
+using engines::order_outcome;
+
+namespace {
+
+const core::time_point cStart{1h};
+const routing::engine_profile cProfile{.batch = 64,
+                                       .memoryTokens = 250'000,
+                                       .weightsMb = 66'000,
+                                       .adapterSlots = 2,
+                                       .models = {{"base", 65'000, 3000, 12}}};
+
+struct kept_engine
+{
+    orders::engine_keeper keeper{"e1", {}};
+    core::time_point now = cStart;
+    std::uint64_t accepted = 3;
+
+    kept_engine()
+    {
+        keeper.describe({.id = "e1", .address = {"10.0.0.1", 80}, .startedMs = 1}, cProfile, now);
+        now += 1s;
+        report({}, {});
+    }
+
+    void report(std::vector<engines::held_adapter> inResident,
+                std::vector<engines::held_adapter> inArriving)
+    {
+        keeper.reportStarted(now);
+        keeper.reportEnded(engines::engine_report{.startedMs = 1,
+                                                  .orders = accepted,
+                                                  .models = {{"base", 1, std::move(inResident)}},
+                                                  .arriving = {{"base", 1, std::move(inArriving)}}},
+                           now);
+    }
+
+    std::optional<engine_order> next()
+    {
+        keeper.advance(now);
+        return keeper.nextOrder(now);
+    }
+
+    void end(const engine_order &inOrder, order_outcome inOutcome)
+    {
+        if (inOutcome == order_outcome::accepted || inOutcome == order_outcome::holds)
+            ++accepted;
+        keeper.orderEnded(inOrder, inOutcome, now);
+    }
+
+    /// Lets all loads end and the adapters stay for the shortest time.
+    void settle()
+    {
+        for (int step = 0; step < 2; ++step) {
+            now += 300ms;
+            keeper.advance(now);
+        }
+    }
+
+    void ask(const std::string &inAdapter) { keeper.asked("base", inAdapter, 0, 1000, now); }
+
+    void load(const std::string &inAdapter)
+    {
+        ask(inAdapter);
+        const auto order = next();
+        REQUIRE(order);
+        CHECK(order->kind == engine_order::operation::load);
+        CHECK(order->adapter == inAdapter);
+        CHECK(order->expectedOrders == accepted);
+        end(*order, order_outcome::accepted);
+    }
+};
+
+} // namespace
+
+TEST_CASE("an adapter is there after its load time, and what is on its way takes a place")
+{
+    kept_engine engine;
+    engine.load("a1");
+    CHECK(engine.keeper.adapters().resident.empty());
+    CHECK(engine.keeper.adapters().arriving.contains("base/a1"));
+    engine.load("a2");
+    engine.ask("a3");
+    // Both places are taken by loads that are on their way.
+    CHECK_FALSE(engine.next());
+    engine.settle();
+    const auto order = engine.next();
+    REQUIRE(order);
+    CHECK(order->kind == engine_order::operation::unload);
+}
+
+TEST_CASE("a refused request does not free the place of an adapter whose load is late")
+{
+    kept_engine engine;
+    engine.load("a1");
+    engine.load("a2");
+    engine.now += 300ms;
+    engine.next();
+    REQUIRE(engine.keeper.adapters().resident.size() == 2);
+    engine.keeper.missing("base/a1", engine.now);
+    CHECK_FALSE(engine.keeper.adapters().resident.contains("base/a1"));
+    CHECK(engine.keeper.adapters().arriving.contains("base/a1"));
+    engine.ask("a3");
+    const auto order = engine.next();
+    CHECK((!order || order->kind == engine_order::operation::unload));
+}
+
+TEST_CASE("an adapter in use is not unloaded")
+{
+    kept_engine engine;
+    engine.load("a1");
+    engine.load("a2");
+    engine.settle();
+    engine.keeper.running("base/a1", engine.now);
+    engine.keeper.running("base/a2", engine.now);
+    engine.ask("a3");
+    CHECK_FALSE(engine.next());
+    engine.now += 300ms;
+    engine.keeper.running("base/a1", engine.now);
+    engine.now += 300ms;
+    const auto order = engine.next();
+    REQUIRE(order);
+    CHECK(order->adapter == "a2");
+    CHECK(order->kind == engine_order::operation::unload);
+}
+
+TEST_CASE("an order without answer is given again with the same number, and nothing else before")
+{
+    kept_engine engine;
+    engine.ask("a1");
+    const auto first = engine.next();
+    REQUIRE(first);
+    engine.end(*first, order_outcome::unknown);
+    engine.ask("a2");
+    CHECK_FALSE(engine.next());
+    engine.now += 200ms;
+    const auto again = engine.next();
+    REQUIRE(again);
+    CHECK(*again == *first);
+}
+
+TEST_CASE("a repeated order that meets a conflict is settled by a newer report only")
+{
+    kept_engine engine;
+    engine.ask("a1");
+    const auto order = engine.next();
+    REQUIRE(order);
+    engine.end(*order, order_outcome::unknown);
+    engine.now += 200ms;
+    REQUIRE(engine.next());
+    engine.end(*order, order_outcome::conflict);
+    CHECK_FALSE(engine.keeper.inSync());
+    // Nothing says that the adapter is there.
+    engine.now += 300ms;
+    engine.next();
+    CHECK(engine.keeper.adapters().resident.empty());
+    CHECK(engine.keeper.adapters().arriving.empty());
+    ++engine.accepted;
+    engine.now += 1s;
+    engine.report({{"a1", 1}}, {});
+    CHECK(engine.keeper.inSync());
+    CHECK(engine.keeper.adapters().resident.contains("base/a1"));
+}
+
+TEST_CASE("a conflict says that another order is under way, not that the load has begun")
+{
+    kept_engine engine;
+    engine.load("a1");
+    engine.now += 300ms;
+    engine.next();
+    engine.keeper.versionNamed("base/a1", 2, engine.now);
+    engine.ask("a1");
+    engine.now += 3s;
+    const auto order = engine.next();
+    REQUIRE(order);
+    CHECK(order->version == 2);
+    engine.end(*order, order_outcome::conflict);
+    engine.now += 300ms;
+    engine.next();
+    const auto adapters = engine.keeper.adapters();
+    const auto found = adapters.resident.find("base/a1");
+    CHECK((found == adapters.resident.end() || found->second < 2));
+}
+
+TEST_CASE("a version that was named replaces an adapter in use only when time presses")
+{
+    kept_engine engine;
+    engine.load("a1");
+    engine.now += 300ms;
+    engine.next();
+    engine.keeper.versionNamed("base/a1", 2, engine.now);
+    const core::time_point named = engine.now;
+    std::optional<engine_order> order;
+    while (!order && engine.now < named + 5s) {
+        engine.now += 100ms;
+        engine.keeper.running("base/a1", engine.now);
+        engine.keeper.asked("base", "a1", 2, 100, engine.now);
+        order = engine.next();
+    }
+    REQUIRE(order);
+    CHECK(order->version == 2);
+    CHECK(engine.now - named >= 2500ms);
+    CHECK(engine.now - named < 4s);
+}
+
+TEST_CASE("an engine that was unloaded recently gets its adapter back faster")
+{
+    kept_engine engine;
+    engine.load("a1");
+    engine.load("a2");
+    engine.settle();
+    engine.ask("a3");
+    const auto unload = engine.next();
+    REQUIRE(unload);
+    engine.end(*unload, order_outcome::holds);
+    const auto load = engine.next();
+    REQUIRE(load);
+    engine.end(*load, order_outcome::accepted);
+    engine.now += 2s;
+    engine.ask(unload->adapter);
+    const auto room = engine.next();
+    REQUIRE(room);
+    engine.end(*room, order_outcome::holds);
+    const auto back = engine.next();
+    REQUIRE(back);
+    CHECK(back->adapter == unload->adapter);
+    engine.end(*back, order_outcome::accepted);
+    const auto adapters = engine.keeper.adapters();
+    REQUIRE(adapters.arriving.contains("base/" + back->adapter));
+    CHECK(adapters.arriving.at("base/" + back->adapter).readyAt - engine.now <= 25ms);
+}
+
+TEST_CASE("a new start of the engine forgets adapters and order numbers")
+{
+    kept_engine engine;
+    engine.load("a1");
+    engine.keeper.describe({.id = "e1", .address = {"10.0.0.1", 80}, .startedMs = 2}, cProfile,
+                           engine.now);
+    CHECK_FALSE(engine.keeper.inSync());
+    CHECK(engine.keeper.adapters().arriving.empty());
+    engine.ask("a2");
+    CHECK_FALSE(engine.next());
+}
--- /dev/null
+++ b/tests/unit/orders_holder_claims_test.cpp
@@ -0,0 +1,118 @@
+// Guards against two instances that give orders to one engine at the same time, and against engines
+// that nobody may give orders to.
+
+#include "corneltally/orders/holder_claims.h"
+
+#include <set>
+
+#include <catch2/catch.hpp>
+
+using namespace corneltally;
+using namespace std::chrono_literals;
+using orders::claim;
+
+namespace {
+
+const core::time_point cStart{1h};
+const claim cSelf{"a", "10.0.0.1", 7, 0};
+
+claim claimOf(const std::string &inInstance, const std::string &inMachine,
+              std::uint64_t inIncarnation, std::uint64_t inFence)
+{
+    return {inInstance, inMachine, inIncarnation, inFence};
+}
+
+} // namespace
+
+TEST_CASE("a free engine may be ordered at once, and only by its claimant")
+{
+    orders::holder_claims claims({}, cSelf);
+    claims.confirmed(cStart);
+    CHECK(claims.wanted({"e1"}, {}, cStart) == std::vector<std::string>{"e1"});
+    CHECK_FALSE(claims.mayOrder("e1", cStart));
+    claims.read("e1", claimOf("a", "10.0.0.1", 7, 5), cStart);
+    CHECK(claims.mayOrder("e1", cStart));
+    claims.read("e1", claimOf("b", "10.0.0.2", 1, 6), cStart);
+    CHECK_FALSE(claims.mayOrder("e1", cStart));
+}
+
+TEST_CASE("a holder whose last look at the claims is old may not order")
+{
+    orders::holder_claims claims({}, cSelf);
+    claims.confirmed(cStart);
+    claims.read("e1", claimOf("a", "10.0.0.1", 7, 5), cStart);
+    CHECK(claims.mayOrder("e1", cStart + 2900ms));
+    CHECK_FALSE(claims.mayOrder("e1", cStart + 3s));
+    claims.confirmed(cStart + 4s);
+    CHECK(claims.mayOrder("e1", cStart + 4s));
+    claims.distrust();
+    CHECK_FALSE(claims.mayOrder("e1", cStart + 4s));
+}
+
+TEST_CASE("a successor waits until its predecessor can't order any more, and the operator's pause")
+{
+    const orders::claim_settings settings;
+    orders::holder_claims claims(settings, cSelf);
+    claims.read("e1", claimOf("b", "10.0.0.2", 1, 5), cStart);
+    claims.confirmed(cStart);
+    const core::time_point taken = cStart + 10s;
+    claims.confirmed(taken);
+    claims.read("e1", claimOf("a", "10.0.0.1", 7, 9), taken);
+    const core::duration wait = settings.lookAge + settings.changePause;
+    for (core::duration later = 0s; later < wait; later += 500ms) {
+        claims.confirmed(taken + later);
+        CHECK_FALSE(claims.mayOrder("e1", taken + later));
+    }
+    claims.confirmed(taken + wait + settings.margin);
+    CHECK(claims.mayOrder("e1", taken + wait + settings.margin));
+}
+
+TEST_CASE("the wait survives a new start of the same machine")
+{
+    orders::holder_claims claims({}, cSelf);
+    claims.read("e1", claimOf("b", "10.0.0.2", 1, 5), cStart);
+    claims.read("e1", claimOf("a", "10.0.0.1", 6, 6), cStart);
+    claims.read("e1", claimOf("a", "10.0.0.1", 7, 7), cStart + 1s);
+    claims.confirmed(cStart + 1s);
+    CHECK_FALSE(claims.mayOrder("e1", cStart + 1s));
+}
+
+TEST_CASE("a machine takes its own engines back at once after a new start")
+{
+    orders::holder_claims claims({}, cSelf);
+    claims.read("e1", claimOf("a", "10.0.0.1", 6, 5), cStart);
+    claims.confirmed(cStart);
+    CHECK_FALSE(claims.mayOrder("e1", cStart));
+    CHECK(claims.wanted({"e1"}, {"b"}, cStart) == std::vector<std::string>{"e1"});
+    claims.read("e1", claimOf("a", "10.0.0.1", 7, 6), cStart);
+    CHECK(claims.mayOrder("e1", cStart));
+}
+
+TEST_CASE("engines of another instance are claimed only after it was silent, by one instance")
+{
+    const orders::claim_settings settings;
+    orders::holder_claims claims(settings, cSelf);
+    claims.read("e1", claimOf("b", "10.0.0.2", 1, 5), cStart);
+    claims.confirmed(cStart);
+    claims.heard("b", cStart);
+    CHECK(claims.wanted({"e1"}, {}, cStart + 2s).empty());
+    claims.confirmed(cStart + 4s);
+    CHECK(claims.wanted({"e1"}, {}, cStart + 4s) == std::vector<std::string>{"e1"});
+    // Of two live instances one is preferred for each engine.
+    orders::holder_claims other(settings, {"c", "10.0.0.3", 1, 0});
+    other.read("e1", claimOf("b", "10.0.0.2", 1, 5), cStart);
+    other.confirmed(cStart);
+    other.heard("b", cStart);
+    other.confirmed(cStart + 4s);
+    const auto mine = claims.wanted({"e1"}, {"c"}, cStart + 4s);
+    const auto theirs = other.wanted({"e1"}, {"a"}, cStart + 4s);
+    CHECK(mine.size() + theirs.size() == 1);
+}
+
+TEST_CASE("an older record never replaces a newer claim")
+{
+    orders::holder_claims claims({}, cSelf);
+    claims.read("e1", claimOf("b", "10.0.0.2", 1, 9), cStart);
+    claims.read("e1", claimOf("a", "10.0.0.1", 7, 5), cStart);
+    CHECK(claims.find("e1")->instance == "b");
+}
--- /dev/null
+++ b/tests/unit/platform_codec_test.cpp
@@ -0,0 +1,214 @@
+// Guards against documents and header fields of the platform that are read wrongly, and against a
+// caller's key or instance-only fields that reach an endpoint.
+
+#include "corneltally/core/digest.h"
+#include "platform/document_codec.h"
+#include "platform/names.h"
+#include "platform/request_codec.h"
+
+#include <string>
+
+#include <catch2/catch.hpp>
+
+using namespace corneltally;
+using namespace std::chrono_literals;
+
+namespace {
+
+const std::string cConfiguration = R"({"version":7,
+ "routes":[
+  {"name":"r1","host":"a.example","path-prefix":"/x/","kind":"streaming","timeout-ms":15000,
+   "target-latency-ms":1000,"priority":1,"service":"lm","max-attempts":2,"anonymous":false,
+   "resumable":true,"gap-aim-ms":300},
+  {"name":"r2","host":"a.example","path-prefix":"/y/","kind":"streaming","timeout-ms":5000,
+   "traffic-split":[{"service":"lm","weight":90},{"service":"app","weight":10}],"max-attempts":1},
+  {"name":"r3","host":"a.example","path-prefix":"/z/","kind":"idempotent","timeout-ms":400,
+   "service":"app","anonymous":true},
+  {"name":"r4","host":"a.example","path-prefix":"/w/","kind":"some_new_kind","timeout-ms":400,
+   "service":"app"}],
+ "services":[
+  {"name":"lm","max-connections":370,"engine":{"capacity":64,"kv-capacity":277092,
+   "weights-mb":66500.0,"adapter-slots":8,"models":[{"name":"m","weights-mb":65100.0,
+   "adapters":3000,"adapter-mb":12.0}]}},
+  {"name":"app","max-connections":110}],
+ "limits":{"max-header-bytes":16384,"max-body-bytes":4194304,"header-timeout-ms":3000,
+  "idle-timeout-ms":15000},
+ "tenants":[{"name":"north","api-keys":["k1","k2"],"priority":1,"unit":"token_stream",
+  "plain-tokens":200,"rate-per-s":1000,"burst":2000}]})";
+
+http1::request_head callerHead()
+{
+    return {.method = "POST",
+            .target = "/x/1",
+            .fields = {{"Host", "a.example"},
+                       {"x-corneltally-request-id", "id1"},
+                       {"X-Corneltally-Model", "m/a7"},
+                       {"X-Corneltally-Token-Count", "1460,80"},
+                       {"X-Corneltally-Prompt-Prefix", "5c:800, 91:410,e4:250"},
+                       {"X-Corneltally-Deadline-Ms", "5000"},
+                       {"Authorization", "Token k1"},
+                       {"X-Corneltally-Tenant", "south"},
+                       {"X-Corneltally-Hold", "h"},
+                       {"Kv-From", "10.0.0.1:80/x"},
+                       {"Connection", "keep-alive"},
+                       {"Accept", "text/plain"}}};
+}
+
+} // namespace
+
+TEST_CASE("a configuration is decoded into routes, services and accounts")
+{
+    const auto decoded = platform::decodeConfiguration(cConfiguration);
+    REQUIRE(decoded);
+    CHECK(decoded->version == 7);
+    REQUIRE(decoded->routes.size() == 4);
+    CHECK(decoded->routes[0].kind == routing::repetition::resumable_stream);
+    CHECK(decoded->routes[0].targetPause == 300ms);
+    CHECK(decoded->routes[1].kind == routing::repetition::once_stream);
+    CHECK(decoded->routes[1].services.size() == 2);
+    CHECK(decoded->routes[2].kind == routing::repetition::repeatable);
+    CHECK(decoded->routes[2].open);
+    // What is not known may not be repeated.
+    CHECK(decoded->routes[3].kind == routing::repetition::once);
+    CHECK(decoded->services[0].engine->adapterSlots == 8);
+    CHECK_FALSE(decoded->services[1].engine.has_value());
+    CHECK(decoded->limits.idleTimeout == 15s);
+    CHECK(decoded->keysRequired);
+    CHECK(decoded->accounts[0].keyDigests[1] == core::sha256Hex("k2"));
+    CHECK(decoded->accounts[0].countsTokens);
+}
+
+TEST_CASE("a document of another shape is refused with a reason")
+{
+    CHECK_FALSE(platform::decodeConfiguration("[]"));
+    CHECK_FALSE(platform::decodeConfiguration("{\"version\":1}"));
+    CHECK_FALSE(platform::decodeConfiguration("{\"version\""));
+}
+
+TEST_CASE("an entry that is not complete names no endpoint")
+{
+    const std::string good
+        = R"({"service":"lm","address":"10.0.0.9:8080","zone":"z","capacity":64,"state":"ready",)"
+          R"("sequence":4,"born":1700000000000,"models":[{"name":"m","version":1,)"
+          R"("adapters":["a3@7","a4"]}]})";
+    const auto entry = platform::decodeEndpoint("i-1", good);
+    REQUIRE(entry);
+    CHECK(entry->startedMs == 1700000000000);
+    CHECK(entry->orders == 4);
+    CHECK(entry->models[0].adapters[0] == engines::held_adapter{"a3", 7});
+    CHECK(entry->models[0].adapters[1] == engines::held_adapter{"a4", 0});
+    const auto with = [&](const std::string &inFrom, const std::string &inTo) {
+        std::string text = good;
+        text.replace(text.find(inFrom), inFrom.size(), inTo);
+        return platform::decodeEndpoint("i-1", text);
+    };
+    CHECK(with("ready", "draining")->leaving);
+    CHECK_FALSE(with("ready", "resting"));
+    CHECK_FALSE(with("\"10.0.0.9:8080\"", "17"));
+    CHECK_FALSE(with("\"sequence\":4", "\"sequence\":\"4\""));
+    CHECK_FALSE(with("\"service\":\"lm\",", ""));
+    CHECK_FALSE(platform::decodeEndpoint("i-1", "\xff\xfe"));
+}
+
+TEST_CASE("named versions are told apart from other records")
+{
+    const auto named = platform::decodeNamedVersion("version/m.a3",
+                                                    R"({"model":"m","adapter":"a3","version":9})");
+    REQUIRE(named);
+    CHECK(*named == platform::named_version{"m", "a3", 9});
+    CHECK_FALSE(platform::decodeNamedVersion("config", R"({"model":"m","adapter":"a"})"));
+    CHECK_FALSE(platform::decodeNamedVersion("version/x", "7"));
+}
+
+TEST_CASE("a report tells resident adapters from those on their way")
+{
+    const auto report = platform::decodeReport(
+        {.status = 200,
+         .body = R"({"models":[{"name":"m","version":1,"adapters":["a1@2"]}],"busy":true,)"
+                 R"("sequence":5,"waiting":1,"running":12,"kv-used":41000,"kv-total":90000,)"
+                 R"("born":17,"coming":["m/a2@3"]})"});
+    REQUIRE(report);
+    CHECK(report->orders == 5);
+    CHECK(report->busy);
+    CHECK(report->models[0].adapters[0] == engines::held_adapter{"a1", 2});
+    CHECK(report->arriving[0].adapters[0] == engines::held_adapter{"a2", 3});
+    CHECK_FALSE(platform::decodeReport({.status = 503, .body = "{}"}));
+}
+
+TEST_CASE("an order names engine, holder and the expected number of orders")
+{
+    const auto request = platform::orderRequest({"10.0.0.9", 80}, "i-1",
+                                                {.model = "m",
+                                                 .adapter = "a3",
+                                                 .version = 4,
+                                                 .expectedOrders = 2,
+                                                 .holder = "node",
+                                                 .fence = 41});
+    CHECK(http1::findField(request.fields, platform::cExpectInstanceField) == "i-1");
+    CHECK(request.body
+          == R"({"adapter":"a3","expect":2,"fencing-token":41,"holder":"node","model":"m",)"
+             R"("operation":"load","version":4})");
+    const auto outcome = [](int inStatus, bool inSent) {
+        return platform::decodeOrderOutcome({.status = inStatus, .sent = inSent});
+    };
+    CHECK(outcome(202, true) == engines::order_outcome::accepted);
+    CHECK(outcome(200, true) == engines::order_outcome::holds);
+    CHECK(outcome(409, true) == engines::order_outcome::conflict);
+    CHECK(outcome(0, true) == engines::order_outcome::unknown);
+    CHECK(outcome(0, false) == engines::order_outcome::refused);
+}
+
+TEST_CASE("a request's terms are read from its fields")
+{
+    const auto terms = platform::decodeRequest(callerHead());
+    CHECK(terms.requestId == "id1");
+    CHECK(terms.key == "k1");
+    CHECK(terms.model == "m");
+    CHECK(terms.adapter == "a7");
+    CHECK(terms.promptTokens == 1460);
+    CHECK(terms.answerTokens == 80);
+    CHECK(terms.timeLeft == 5000ms);
+    REQUIRE(terms.parts.size() == 3);
+    CHECK(terms.parts[1] == routing::prompt_part{"91", 410});
+}
+
+TEST_CASE("the key and fields that only instances set do not reach an endpoint")
+{
+    const auto head = platform::encodeRequest(
+        callerHead(), {.timeLeft = 4200ms, .endpointId = "i-1", .account = "north", .urgency = 2});
+    const auto field = [&](std::string_view inName) {
+        return http1::findField(head.fields, inName).value_or("-");
+    };
+    CHECK(field("Authorization") == "-");
+    CHECK(field("X-Corneltally-Hold") == "-");
+    CHECK(field("Kv-From") == "-");
+    CHECK(field("Connection") == "-");
+    CHECK(field("X-Corneltally-Tenant") == "north");
+    CHECK(field("X-Corneltally-Deadline-Ms") == "4200");
+    CHECK(field("X-Corneltally-Expect-Instance") == "i-1");
+    CHECK(field("X-Corneltally-Request-Urgency") == "2");
+    CHECK(field("Accept") == "text/plain");
+    CHECK(head.target == "/x/1");
+    const auto anonymous = platform::encodeRequest(callerHead(), {.endpointId = "i-1"});
+    CHECK_FALSE(http1::findField(anonymous.fields, "X-Corneltally-Tenant"));
+}
+
+TEST_CASE("an answer's statement is read from status and fields")
+{
+    const auto answer = [](int inStatus, http1::header_fields inFields) {
+        return platform::decodeAnswer({.status = inStatus, .fields = std::move(inFields)});
+    };
+    CHECK(answer(503, {{"X-Corneltally-Not-Executed", "1"}}).notExecuted);
+    CHECK_FALSE(answer(503, {}).notExecuted);
+    CHECK(answer(421, {}).otherEndpoint);
+    CHECK(answer(200, {{"X-Corneltally-Server-Seal", "s"}}).sealed);
+    CHECK_FALSE(answer(200, {{"X-Corneltally-Server-Seal", ""}}).sealed);
+    CHECK(platform::answersRequest({.fields = {{"X-Corneltally-Request-Id", "a"}}}, "a"));
+    CHECK_FALSE(platform::answersRequest({.fields = {{"X-Corneltally-Request-Id", "b"}}}, "a"));
+}
+
+TEST_CASE("an own refusal says when to come back, in seconds with fractions")
+{
+    const auto head = platform::encodeOwnAnswer(503, "id1", 250ms);
+    CHECK(http1::findField(head.fields, "Retry-After") == "0.250");
+}
--- /dev/null
+++ b/tests/unit/settings_forwarding_test.cpp
@@ -0,0 +1,60 @@
+// Guards against settings files with mistakes that are found only when the process needs them.
+
+#include "corneltally/settings/forwarding_settings.h"
+
+#include <string>
+#include <vector>
+
+#include <catch2/catch.hpp>
+
+using namespace corneltally;
+using settings::forwarding_settings;
+
+namespace {
+
+const std::string cFile = R"([instance]
+name = "edge-1"
+failure_domain = "north"
+machine = "10.1.0.25"
+[listen]
+callers = "10.1.0.25:8221"
+operators = "10.1.0.25:8224"
+peers = "10.1.0.25:8229"
+[store]
+address = "10.200.1.7:8225"
+seeds = "10.1.0.25:8229,10.2.0.17:8229"
+[limits]
+stop_ms = 8000
+[retries]
+ratio = 1
+slack = 58
+)";
+
+} // namespace
+
+TEST_CASE("a file of a forwarding instance is read as a whole")
+{
+    const auto settings = forwarding_settings::sFromToml(cFile, "a.toml");
+    REQUIRE(settings);
+    CHECK(settings->machine == "10.1.0.25");
+    CHECK(settings->retryRatio == 1);
+    CHECK(settings->holderPauseMs == 3000);
+    CHECK(forwarding_settings::sIsOne(cFile));
+    CHECK_FALSE(forwarding_settings::sIsOne("[platform]\naddress = \"1.1.1.1:1\"\n"));
+}
+
+TEST_CASE("all mistakes are named with line, key and remedy")
+{
+    std::string text = cFile;
+    text.replace(text.find("stop_ms = 8000"), 14, "stop_msec = 8000");
+    text.replace(text.find("\"10.200.1.7:8225\""), 17, "\"nowhere\"");
+    text.replace(text.find("machine"), 7, "#machine");
+    std::vector<settings::problem> problems;
+    CHECK_FALSE(forwarding_settings::sFromToml(text, "a.toml", &problems));
+    REQUIRE(problems.size() == 3);
+    CHECK(problems[0].key == "store.address");
+    CHECK(problems[0].line == 10);
+    CHECK(problems[1].key == "limits.stop_msec");
+    CHECK(problems[1].remedy == "did you mean \"stop_ms\"?");
+    CHECK(problems[2].key == "instance.machine");
+}
