Choose engines by places that are free or can be made free

Change: heartbeats and engine states tell which adapters are in use and how many wait; the estimate counts places, adapters at hand, and the price of a load from the store; the holder gets 900 ms.

--- a/corneltally/engines/endpoint_book.cpp
+++ b/corneltally/engines/endpoint_book.cpp
@@ -19,6 +19,23 @@
     }
 }
 
+/// Adapters that were unloaded are kept at hand by the engine for a while.
+void noteUnloaded(endpoint &ioEndpoint, const residency &inNext)
+{
+    const auto stays = [&](const std::string &inAdapter) {
+        return inNext.resident.contains(inAdapter) || inNext.arriving.contains(inAdapter);
+    };
+    std::erase_if(ioEndpoint.warm, stays);
+    for (const auto &[adapter, version] : ioEndpoint.adapters.resident) {
+        if (!stays(adapter))
+            ioEndpoint.warm.push_back(adapter);
+    }
+    if (ioEndpoint.warm.size() > endpoint_book::sWarmAdapters)
+        ioEndpoint.warm.erase(ioEndpoint.warm.begin(),
+                              ioEndpoint.warm.end()
+                                  - static_cast<std::ptrdiff_t>(endpoint_book::sWarmAdapters));
+}
+
 } // namespace
 
 std::string adapterKey(std::string_view inModel, std::string_view inAdapter)
@@ -70,7 +87,7 @@
 void endpoint_book::applyHolderReport(std::string_view inId, std::uint64_t inStartedMs,
                                       const std::string &inHolder, bool inReady,
                                       residency inAdapters, std::vector<std::string> inModels,
-                                      core::time_point inNow)
+                                      int inQueued, core::time_point inNow)
 {
     endpoint *target = find(inId);
     if (target == nullptr || target->entry.startedMs != inStartedMs)
@@ -78,15 +95,36 @@
     target->holder = inHolder;
     target->holderReady = inReady;
     target->holderReportAt = inNow;
+    noteUnloaded(*target, inAdapters);
     target->adapters = std::move(inAdapters);
+    target->queued = inQueued;
     target->models = std::move(inModels);
 }
 
 void endpoint_book::applyPeerLoads(const std::string &inInstance,
                                    std::map<std::string, endpoint_load, std::less<>> inLoads,
+                                   std::set<std::pair<std::string, std::string>> inRunning,
                                    core::time_point inNow)
 {
-    mPeers.insert_or_assign(inInstance, peer_loads{std::move(inLoads), inNow});
+    mPeers.insert_or_assign(inInstance,
+                            peer_loads{std::move(inLoads), std::move(inRunning), inNow});
+}
+
+int endpoint_book::openPlaces(const endpoint &inEndpoint, int inPlaces,
+                              core::time_point inNow) const
+{
+    const auto &adapters = inEndpoint.adapters;
+    int open = inPlaces - static_cast<int>(adapters.resident.size() + adapters.arriving.size());
+    for (const auto &[adapter, version] : adapters.resident) {
+        const bool isRunning
+            = inEndpoint.ownRunning.contains(adapter)
+            || std::ranges::any_of(mPeers, [&](const auto &inPeer) {
+                   return inNow - inPeer.second.at <= sLoadAge
+                       && inPeer.second.running.contains({inEndpoint.entry.id, adapter});
+               });
+        open += isRunning ? 0 : 1;
+    }
+    return open - std::max(inEndpoint.queued, static_cast<int>(inEndpoint.ownWaiting.size()));
 }
 
 void endpoint_book::forgetHearsay()
--- a/corneltally/engines/endpoint_book.h
+++ b/corneltally/engines/endpoint_book.h
@@ -8,8 +8,10 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace corneltally::engines {
@@ -68,6 +70,12 @@
     /// Whether the holder said that it may order now.
     bool holderReady = false;
     core::time_point holderReportAt;
+    /// Adapters that wait for a place, as the holder said.
+    int queued = 0;
+    /// Adapters that this instance has asked for and that are not on their way yet.
+    std::map<std::string, int, std::less<>> ownWaiting;
+    /// Adapters that the engine held lately and gets back fast, the latest last.
+    std::vector<std::string> warm;
     /// Shared parts of prompts that this instance sent, with the time of the last use.
     std::map<std::string, core::time_point, std::less<>> recentParts;
 
@@ -86,6 +94,8 @@
     static constexpr core::duration sHolderAge = std::chrono::seconds(5);
     /// Entries that lapsed while the store was away come back within this time of its return.
     static constexpr core::duration sLapseGrace = std::chrono::milliseconds(2500);
+    /// Adapters that an engine keeps at hand after they were unloaded.
+    static constexpr std::size_t sWarmAdapters = 40;
     /// Knowledge of an endpoint is dropped this long after its entry went away.
     static constexpr core::duration sForgetAfter = std::chrono::seconds(30);
 
@@ -101,13 +111,20 @@
     /// The word of an engine's holder; ignored if it speaks of another start.
     void applyHolderReport(std::string_view inId, std::uint64_t inStartedMs,
                            const std::string &inHolder, bool inReady, residency inAdapters,
-                           std::vector<std::string> inModels, core::time_point inNow);
+                           std::vector<std::string> inModels, int inQueued,
+                           core::time_point inNow);
 
-    /// The work that another instance has at endpoints; replaces what it said before.
+    /// The work that another instance has at endpoints, and the adapters that it runs on;
+    /// replaces what it said before.
     void applyPeerLoads(const std::string &inInstance,
                         std::map<std::string, endpoint_load, std::less<>> inLoads,
+                        std::set<std::pair<std::string, std::string>> inRunning,
                         core::time_point inNow);
 
+    /// Adapters that an engine with a number of places could take now: free places and adapters
+    /// that no request runs on, less those that wait already.
+    int openPlaces(const endpoint &inEndpoint, int inPlaces, core::time_point inNow) const;
+
     /// Forgets what other instances and holders said, for example after a pause of the process.
     void forgetHearsay();
 
@@ -132,6 +149,8 @@
     struct peer_loads
     {
         std::map<std::string, endpoint_load, std::less<>> loads;
+        /// Endpoint and adapter.
+        std::set<std::pair<std::string, std::string>> running;
         core::time_point at;
     };
 
--- a/corneltally/engines/endpoint_choice.cpp
+++ b/corneltally/engines/endpoint_choice.cpp
@@ -77,8 +77,9 @@
 };
 
 /// Adds the wait for the adapter. Returns false if the endpoint can't get it.
-bool addAdapterWait(candidate &ioCandidate, const std::string &inKey, const work_request &inRequest,
-                    const choice_settings &inSettings, core::time_point inNow)
+bool addAdapterWait(candidate &ioCandidate, const endpoint_book &inBook, const std::string &inKey,
+                    const work_request &inRequest, const choice_settings &inSettings,
+                    core::time_point inNow)
 {
     const endpoint &target = *ioCandidate.target;
     const auto resident = target.adapters.resident.find(inKey);
@@ -95,8 +96,15 @@
     if (!target.holderReady)
         return false;
     ioCandidate.state = endpoint_choice::readiness::to_load;
-    const auto queue = static_cast<double>(target.adapters.arriving.size());
-    ioCandidate.cost += inMs(inSettings.adapterLoad) * (1 + 0.5 * queue);
+    const bool isWarm = std::ranges::find(target.warm, inKey) != target.warm.end();
+    ioCandidate.cost += inMs(inSettings.adapterLoad) * (isWarm ? inSettings.warmLoad : 1);
+    if (!isWarm)
+        ioCandidate.cost += inMs(inSettings.coldPenalty);
+    // A request for an adapter that is asked for already waits no longer than that one.
+    const int open = inBook.openPlaces(target, inRequest.adapterPlaces, inNow)
+        + (target.ownWaiting.contains(inKey) ? 1 : 0);
+    if (open <= 0)
+        ioCandidate.cost += inMs(inSettings.placeWait) * (1 - open);
     return true;
 }
 
@@ -133,7 +141,7 @@
                                            : plainCost(*target, load),
                         .preference = core::rendezvousWeight(key, target->entry.id)};
         if (needsModel && !inRequest.adapter.empty()
-            && !addAdapterWait(entry, key, inRequest, inSettings, inNow))
+            && !addAdapterWait(entry, ioBook, key, inRequest, inSettings, inNow))
             continue;
         const double health = target->health.weight(inNow);
         entry.cost /= std::max(health, inSettings.leastHealth);
--- a/corneltally/engines/endpoint_choice.h
+++ b/corneltally/engines/endpoint_choice.h
@@ -19,6 +19,14 @@
     double promptTokensPerMs = 40;
     /// Time to load an adapter (deployment sheets: 250 ms).
     core::duration adapterLoad = std::chrono::milliseconds(250);
+    /// Part of it for an adapter that the engine held lately (platform's pages: a tenth).
+    double warmLoad = 0.1;
+    /// Worth of a load from the store, as time that a request may wait instead: the deployment
+    /// sheets price a load at about a quarter of a request.
+    core::duration coldPenalty = std::chrono::milliseconds(150);
+    /// Expected wait for a place at an engine whose adapters are all in use, for each adapter that
+    /// waits. Requests run for one to three seconds at an engine with eight places.
+    core::duration placeWait = std::chrono::milliseconds(350);
     /// Cost of leaving the own failure domain: delay and the price of the bytes.
     core::duration domainPenalty = std::chrono::milliseconds(5);
     /// Cost of each place that an engine stands behind the preferred one for an adapter that has to
@@ -37,6 +45,7 @@
     /// Tokens that an engine of the service can hold; zero for plain services.
     double engineMemory = 0;
     int engineBatch = 0;
+    int adapterPlaces = 0;
     std::string model;
     std::string adapter;
     /// Oldest version of the adapter that may serve.
--- a/corneltally/fleet/fleet_codec.cpp
+++ b/corneltally/fleet/fleet_codec.cpp
@@ -122,6 +122,7 @@
         target.resident = encodeResident(inState.adapters.resident);
         target.arriving = encodeArriving(inState.adapters.arriving, now);
         target.models = inState.models;
+        target.queued = inState.queued;
         body.Set(std::move(target));
     }
 
@@ -157,7 +158,8 @@
     engine_state decoded{.endpoint = inBody.endpoint,
                          .startedMs = inBody.started_ms,
                          .ready = inBody.ready,
-                         .models = inBody.models};
+                         .models = inBody.models,
+                         .queued = inBody.queued};
     for (const auto &entry : inBody.resident)
         decoded.adapters.resident[entry->adapter] = entry->version;
     for (const auto &entry : inBody.arriving)
--- a/corneltally/fleet/fleet_messages.h
+++ b/corneltally/fleet/fleet_messages.h
@@ -84,6 +84,8 @@
     bool ready = false;
     engines::residency adapters;
     std::vector<std::string> models;
+    /// Adapters that are asked for and wait for a place.
+    int queued = 0;
 
     friend bool operator==(const engine_state &, const engine_state &) = default;
 };
--- a/corneltally/forwarding/forward_context.h
+++ b/corneltally/forwarding/forward_context.h
@@ -38,7 +38,7 @@
     /// Longest idle time of a connection for requests that may be repeated.
     core::duration idleConnection = std::chrono::seconds(3);
     /// A holder has this long to begin a load that was asked for.
-    core::duration loadPatience = std::chrono::milliseconds(350);
+    core::duration loadPatience = std::chrono::milliseconds(900);
     /// Pause before a request is sent again to an engine that still loads its adapter.
     core::duration loadRetryPause = std::chrono::milliseconds(50);
     int maxLoadRetries = 3;
--- a/corneltally/forwarding/forward_run.cpp
+++ b/corneltally/forwarding/forward_run.cpp
@@ -72,6 +72,7 @@
 
 forward_run::~forward_run()
 {
+    endWaiting();
     endLoad();
 }
 
@@ -147,6 +148,7 @@
     if (mService->engine) {
         mWork.engineMemory = mService->engine->memoryTokens;
         mWork.engineBatch = mService->engine->batch;
+        mWork.adapterPlaces = mService->engine->adapterSlots;
         mWork.model = mTerms.model;
         mWork.adapter = mTerms.adapter;
         mWork.parts = mTerms.parts;
@@ -170,6 +172,7 @@
 void forward_run::chooseAndSend()
 {
     const core::time_point now = core::boot_clock::now();
+    endWaiting();
     mState = state::received;
     const auto named = mContext.namedVersions.find(engines::adapterKey(mWork.model, mWork.adapter));
     mWork.version = named == mContext.namedVersions.end() ? 0 : named->second;
@@ -204,7 +207,8 @@
 void forward_run::orderAdapter()
 {
     ++mLoadsAsked;
-    const engines::endpoint &target = *mContext.book.find(mChoice.endpoint);
+    engines::endpoint &target = *mContext.book.find(mChoice.endpoint);
+    noteWaiting(target);
     fleet::load_wanted wanted{.endpoint = mChoice.endpoint,
                               .startedMs = mEndpointStart,
                               .model = mWork.model,
@@ -217,6 +221,29 @@
         mContext.registry.post("mesh", fleet::mesh_send{target.holder, std::move(wanted)});
 }
 
+/// Counts the request among those that wait for a load at the endpoint.
+void forward_run::noteWaiting(engines::endpoint &ioTarget)
+{
+    if (mWaitingCounted)
+        return;
+    mWaitingCounted = true;
+    ++ioTarget.ownWaiting[engines::adapterKey(mWork.model, mWork.adapter)];
+}
+
+void forward_run::endWaiting()
+{
+    if (!mWaitingCounted)
+        return;
+    mWaitingCounted = false;
+    engines::endpoint *target = mContext.book.find(mChoice.endpoint);
+    if (target == nullptr || target->entry.startedMs != mEndpointStart)
+        return;
+    const auto found
+        = target->ownWaiting.find(engines::adapterKey(mWork.model, mWork.adapter));
+    if (found != target->ownWaiting.end() && --found->second <= 0)
+        target->ownWaiting.erase(found);
+}
+
 bool forward_run::adapterThere() const
 {
     const engines::endpoint *target = mContext.book.find(mChoice.endpoint);
@@ -242,6 +269,8 @@
     const auto arriving
         = target->adapters.arriving.find(engines::adapterKey(mWork.model, mWork.adapter));
     mWake.cancel();
+    if (arriving != target->adapters.arriving.end())
+        endWaiting();
     if (arriving == target->adapters.arriving.end() || arriving->second.version < mWork.version) {
         mWake.startOnce(
             std::max(core::duration::zero(), mWaitingSince + mContext.settings.loadPatience - now));
@@ -295,6 +324,7 @@
 {
     const core::time_point now = core::boot_clock::now();
     mWake.cancel();
+    endWaiting();
     engines::endpoint &target = *mContext.book.find(mChoice.endpoint);
     mState = state::sent;
     mSentAt = now;
@@ -712,6 +742,7 @@
 {
     const core::time_point now = core::boot_clock::now();
     mState = state::done;
+    endWaiting();
     mDeadline.cancel();
     mWake.cancel();
     mContext.metrics.count("requests_total{outcome=\"" + std::string(inOutcome) + "\"}");
--- a/corneltally/forwarding/forward_run.h
+++ b/corneltally/forwarding/forward_run.h
@@ -76,6 +76,8 @@
     void finish(int inStatus, std::string_view inOutcome, std::string_view inReason);
     void dropAttempt();
     void breakOff(std::string_view inReason);
+    void noteWaiting(engines::endpoint &ioTarget);
+    void endWaiting();
     void beginLoad();
     void endLoad();
     void firstEventSeen();
@@ -119,6 +121,7 @@
     bool mAnswerBegun = false;
     bool mWholeAnswer = false;
     double mCharged = 0;
+    bool mWaitingCounted = false;
     bool mLoadCounted = false;
     bool mPromptCounted = false;
     double mMemoryTokens = 0;
--- a/corneltally/forwarding/front_service.cpp
+++ b/corneltally/forwarding/front_service.cpp
@@ -199,7 +199,8 @@
                                         const fleet::engine_state &inState)
 {
     mContext.book.applyHolderReport(inState.endpoint, inState.startedMs, inHolder, inState.ready,
-                                    inState.adapters, inState.models, core::boot_clock::now());
+                                    inState.adapters, inState.models, inState.queued,
+                                    core::boot_clock::now());
     endpointChanged(inState.endpoint);
 }
 
@@ -209,7 +210,10 @@
     if (const auto *state = std::get_if<fleet::engine_state>(&inReceived.body)) {
         engineStateReceived(inReceived.instance, *state);
     } else if (const auto *beat = std::get_if<fleet::heartbeat>(&inReceived.body)) {
-        mContext.book.applyPeerLoads(inReceived.instance, beat->loads, now);
+        std::set<std::pair<std::string, std::string>> running;
+        for (const fleet::adapter_use &use : beat->adaptersRunning)
+            running.emplace(use.endpoint, use.adapter);
+        mContext.book.applyPeerLoads(inReceived.instance, beat->loads, std::move(running), now);
         mContext.allowance.applyPeer(inReceived.instance, inReceived.incarnation, beat->accountUses,
                                      now);
     }
--- a/corneltally/orders/engine_keeper.cpp
+++ b/corneltally/orders/engine_keeper.cpp
@@ -411,6 +411,13 @@
     ++mRevision;
 }
 
+int engine_keeper::queued() const
+{
+    return static_cast<int>(std::ranges::count_if(mDemand, [this](const auto &inEntry) {
+        return mSlots.stateOf(inEntry.first) == scheduling::adapter_slots::state::absent;
+    }));
+}
+
 engines::residency engine_keeper::adapters() const
 {
     engines::residency adapters;
--- a/corneltally/orders/engine_keeper.h
+++ b/corneltally/orders/engine_keeper.h
@@ -105,7 +105,8 @@
     const engines::endpoint_entry &entry() const { return mEntry; }
     /// Changes with each change of adapters() or models().
     std::uint64_t revision() const { return mRevision; }
-    std::size_t demandCount() const { return mDemand.size(); }
+    /// Adapters that are asked for and not on their way yet.
+    int queued() const;
 
 private:
     struct demand
--- a/corneltally/orders/order_service.cpp
+++ b/corneltally/orders/order_service.cpp
@@ -379,7 +379,8 @@
                               .startedMs = keeper.entry().startedMs,
                               .ready = mClaims.mayOrder(inEngine, inNow) && keeper.inSync(),
                               .adapters = keeper.adapters(),
-                              .models = keeper.models()};
+                              .models = keeper.models(),
+                              .queued = keeper.queued()};
     if (ioHeld.published == state && inNow - ioHeld.publishedAt < cRepeatPeriod)
         return;
     ioHeld.published = state;
--- a/schemas/fleet_generated.h
+++ b/schemas/fleet_generated.h
@@ -1150,6 +1150,7 @@
   std::vector<std::unique_ptr<corneltally::fleet_wire::HeldAdapterT>> resident{};
   std::vector<std::unique_ptr<corneltally::fleet_wire::HeldAdapterT>> arriving{};
   std::vector<std::string> models{};
+  int32_t queued = 0;
   EngineStateT() = default;
   EngineStateT(const EngineStateT &o);
   EngineStateT(EngineStateT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1166,7 +1167,8 @@
     VT_READY = 8,
     VT_RESIDENT = 10,
     VT_ARRIVING = 12,
-    VT_MODELS = 14
+    VT_MODELS = 14,
+    VT_QUEUED = 16
   };
   const flatbuffers::String *endpoint() const {
     return GetPointer<const flatbuffers::String *>(VT_ENDPOINT);
@@ -1186,6 +1188,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *models() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_MODELS);
   }
+  int32_t queued() const {
+    return GetField<int32_t>(VT_QUEUED, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_ENDPOINT) &&
@@ -1201,6 +1206,7 @@
            VerifyOffset(verifier, VT_MODELS) &&
            verifier.VerifyVector(models()) &&
            verifier.VerifyVectorOfStrings(models()) &&
+           VerifyField<int32_t>(verifier, VT_QUEUED, 4) &&
            verifier.EndTable();
   }
   EngineStateT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1230,6 +1236,9 @@
   void add_models(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> models) {
     fbb_.AddOffset(EngineState::VT_MODELS, models);
   }
+  void add_queued(int32_t queued) {
+    fbb_.AddElement<int32_t>(EngineState::VT_QUEUED, queued, 0);
+  }
   explicit EngineStateBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1249,9 +1258,11 @@
     bool ready = false,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<corneltally::fleet_wire::HeldAdapter>>> resident = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<corneltally::fleet_wire::HeldAdapter>>> arriving = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> models = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> models = 0,
+    int32_t queued = 0) {
   EngineStateBuilder builder_(_fbb);
   builder_.add_started_ms(started_ms);
+  builder_.add_queued(queued);
   builder_.add_models(models);
   builder_.add_arriving(arriving);
   builder_.add_resident(resident);
@@ -1272,7 +1283,8 @@
     bool ready = false,
     const std::vector<flatbuffers::Offset<corneltally::fleet_wire::HeldAdapter>> *resident = nullptr,
     const std::vector<flatbuffers::Offset<corneltally::fleet_wire::HeldAdapter>> *arriving = nullptr,
-    const std::vector<flatbuffers::Offset<flatbuffers::String>> *models = nullptr) {
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *models = nullptr,
+    int32_t queued = 0) {
   auto endpoint__ = endpoint ? _fbb.CreateString(endpoint) : 0;
   auto resident__ = resident ? _fbb.CreateVector<flatbuffers::Offset<corneltally::fleet_wire::HeldAdapter>>(*resident) : 0;
   auto arriving__ = arriving ? _fbb.CreateVector<flatbuffers::Offset<corneltally::fleet_wire::HeldAdapter>>(*arriving) : 0;
@@ -1284,7 +1296,8 @@
       ready,
       resident__,
       arriving__,
-      models__);
+      models__,
+      queued);
 }
 
 flatbuffers::Offset<EngineState> CreateEngineState(flatbuffers::FlatBufferBuilder &_fbb, const EngineStateT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1821,7 +1834,8 @@
       : endpoint(o.endpoint),
         started_ms(o.started_ms),
         ready(o.ready),
-        models(o.models) {
+        models(o.models),
+        queued(o.queued) {
   resident.reserve(o.resident.size());
   for (const auto &resident_ : o.resident) { resident.emplace_back((resident_) ? new corneltally::fleet_wire::HeldAdapterT(*resident_) : nullptr); }
   arriving.reserve(o.arriving.size());
@@ -1835,6 +1849,7 @@
   std::swap(resident, o.resident);
   std::swap(arriving, o.arriving);
   std::swap(models, o.models);
+  std::swap(queued, o.queued);
   return *this;
 }
 
@@ -1853,6 +1868,7 @@
   { auto _e = resident(); if (_e) { _o->resident.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->resident[_i] = std::unique_ptr<corneltally::fleet_wire::HeldAdapterT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = arriving(); if (_e) { _o->arriving.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->arriving[_i] = std::unique_ptr<corneltally::fleet_wire::HeldAdapterT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = models(); if (_e) { _o->models.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->models[_i] = _e->Get(_i)->str(); } } }
+  { auto _e = queued(); _o->queued = _e; }
 }
 
 inline flatbuffers::Offset<EngineState> EngineState::Pack(flatbuffers::FlatBufferBuilder &_fbb, const EngineStateT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -1869,6 +1885,7 @@
   auto _resident = _o->resident.size() ? _fbb.CreateVector<flatbuffers::Offset<corneltally::fleet_wire::HeldAdapter>> (_o->resident.size(), [](size_t i, _VectorArgs *__va) { return CreateHeldAdapter(*__va->__fbb, __va->__o->resident[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _arriving = _o->arriving.size() ? _fbb.CreateVector<flatbuffers::Offset<corneltally::fleet_wire::HeldAdapter>> (_o->arriving.size(), [](size_t i, _VectorArgs *__va) { return CreateHeldAdapter(*__va->__fbb, __va->__o->arriving[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _models = _o->models.size() ? _fbb.CreateVectorOfStrings(_o->models) : 0;
+  auto _queued = _o->queued;
   return corneltally::fleet_wire::CreateEngineState(
       _fbb,
       _endpoint,
@@ -1876,7 +1893,8 @@
       _ready,
       _resident,
       _arriving,
-      _models);
+      _models,
+      _queued);
 }
 
 inline OperatorRecordT *OperatorRecord::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/tests/unit/engines_endpoint_choice_test.cpp
+++ b/tests/unit/engines_endpoint_choice_test.cpp
@@ -41,7 +41,8 @@
 
     void report(const std::string &inId, engines::residency inAdapters)
     {
-        book.applyHolderReport(inId, 1, "holder", true, std::move(inAdapters), {"base"}, cStart);
+        book.applyHolderReport(inId, 1, "holder", true, std::move(inAdapters), {"base"}, 0,
+                               cStart);
     }
 
     std::optional<endpoint_choice> choose(const engines::work_request &inRequest)
@@ -55,6 +56,7 @@
     return {.service = "models",
             .engineMemory = 250'000,
             .engineBatch = 64,
+            .adapterPlaces = 2,
             .model = "base",
             .adapter = "a1",
             .promptTokens = inPromptTokens};
@@ -87,7 +89,8 @@
 {
     three_engines fleet;
     fleet.report("e2", {.resident = {{"base/a1", 1}}});
-    fleet.book.applyPeerLoads("other", {{"e2", {.requests = 20, .promptTokens = 100'000}}}, cStart);
+    fleet.book.applyPeerLoads("other", {{"e2", {.requests = 20, .promptTokens = 100'000}}}, {},
+                              cStart);
     CHECK(fleet.choose(adapterRequest())->endpoint != "e2");
     CHECK(engines::chooseEndpoint(fleet.book, adapterRequest(), "north", {}, cStart + 3s)->endpoint
           == "e2");
