Tell holders at once which adapters are in use, and hold on without the store

Cause: an adapter counted as in use for up to 0.7 s after its last request, a fifth of the time of a place; and holders stopped 3 s after their last look at the claims, successors began after 10 s. Change: the first begin and last end of requests on an adapter are told to the holder; a holder goes on for 7 s while all other instances say that they hear it; a successor begins after 7.9 s.

--- a/corneltally/catalog/catalog_service.h
+++ b/corneltally/catalog/catalog_service.h
@@ -29,6 +29,9 @@
     /// Time that a read of rarely changed topics waits at the store. A silent connection is noticed
     /// after it.
     core::duration longWait = std::chrono::milliseconds(1500);
+    /// The same for the instances' own topic: holders of engines stop when their last look at the
+    /// claims is 2 s old.
+    core::duration fleetWait = std::chrono::milliseconds(700);
     /// Pause between reads of the endpoints, whose entries are renewed all the time. A leaving
     /// endpoint must get nothing new 2 s after its notice.
     core::duration endpointPause = std::chrono::milliseconds(500);
@@ -52,7 +55,7 @@
         , mEndpoints(ioRegistry.loop(), *mClient, inSettings.endpointTopic,
                      {.pause = inSettings.endpointPause},
                      [this](const store::topic_update &inUpdate) { endpointsUpdated(inUpdate); })
-        , mFleet(ioRegistry.loop(), *mClient, inSettings.fleetTopic, {.wait = inSettings.longWait},
+        , mFleet(ioRegistry.loop(), *mClient, inSettings.fleetTopic, {.wait = inSettings.fleetWait},
                  [this](const store::topic_update &inUpdate) {
                      mRegistry.broadcast(fleet_topic_updated{inUpdate});
                  })
--- a/corneltally/engines/endpoint_book.h
+++ b/corneltally/engines/endpoint_book.h
@@ -111,8 +111,7 @@
     /// The word of an engine's holder; ignored if it speaks of another start.
     void applyHolderReport(std::string_view inId, std::uint64_t inStartedMs,
                            const std::string &inHolder, bool inReady, residency inAdapters,
-                           std::vector<std::string> inModels, int inQueued,
-                           core::time_point inNow);
+                           std::vector<std::string> inModels, int inQueued, core::time_point inNow);
 
     /// The work that another instance has at endpoints, and the adapters that it runs on;
     /// replaces what it said before.
--- a/corneltally/fleet/fleet_codec.cpp
+++ b/corneltally/fleet/fleet_codec.cpp
@@ -113,6 +113,16 @@
         body.Set(std::move(target));
     }
 
+    void operator()(const adapter_running &inRunning)
+    {
+        wire::AdapterRunningT target;
+        target.endpoint = inRunning.endpoint;
+        target.started_ms = inRunning.startedMs;
+        target.adapter = inRunning.adapter;
+        target.running = inRunning.running;
+        body.Set(std::move(target));
+    }
+
     void operator()(const engine_state &inState)
     {
         wire::EngineStateT target;
@@ -199,6 +209,8 @@
                            body->adapter,  body->version,    body->tokens};
     if (const auto *body = envelope.body.AsAdapterMissing())
         return adapter_missing{body->endpoint, body->started_ms, body->adapter};
+    if (const auto *body = envelope.body.AsAdapterRunning())
+        return adapter_running{body->endpoint, body->started_ms, body->adapter, body->running};
     if (const auto *body = envelope.body.AsEngineState())
         return decodeState(*body, inNow);
     if (const auto *body = envelope.body.AsOperatorRecord()) {
--- a/corneltally/fleet/fleet_messages.h
+++ b/corneltally/fleet/fleet_messages.h
@@ -75,6 +75,17 @@
     friend bool operator==(const adapter_missing &, const adapter_missing &) = default;
 };
 
+/// The first request of the sender on an adapter began, or its last one ended.
+struct adapter_running
+{
+    std::string endpoint;
+    std::uint64_t startedMs = 0;
+    std::string adapter;
+    bool running = false;
+
+    friend bool operator==(const adapter_running &, const adapter_running &) = default;
+};
+
 /// What the holder of an engine knows of its adapters.
 struct engine_state
 {
@@ -100,7 +111,7 @@
     friend bool operator==(const operator_record &, const operator_record &) = default;
 };
 
-using message
-    = std::variant<hello, heartbeat, load_wanted, adapter_missing, engine_state, operator_record>;
+using message = std::variant<hello, heartbeat, load_wanted, adapter_missing, engine_state,
+                             operator_record, adapter_running>;
 
 } // namespace corneltally::fleet
--- a/corneltally/forwarding/forward_run.cpp
+++ b/corneltally/forwarding/forward_run.cpp
@@ -238,8 +238,7 @@
     engines::endpoint *target = mContext.book.find(mChoice.endpoint);
     if (target == nullptr || target->entry.startedMs != mEndpointStart)
         return;
-    const auto found
-        = target->ownWaiting.find(engines::adapterKey(mWork.model, mWork.adapter));
+    const auto found = target->ownWaiting.find(engines::adapterKey(mWork.model, mWork.adapter));
     if (found != target->ownWaiting.end() && --found->second <= 0)
         target->ownWaiting.erase(found);
 }
@@ -374,13 +373,25 @@
     ++target.own.requests;
     target.own.promptTokens += mWork.promptTokens;
     target.own.memoryTokens += mMemoryTokens;
-    if (!mWork.adapter.empty())
-        ++target.ownRunning[engines::adapterKey(mWork.model, mWork.adapter)];
+    if (!mWork.adapter.empty()
+        && ++target.ownRunning[engines::adapterKey(mWork.model, mWork.adapter)] == 1)
+        tellRunning(target, true);
     target.health.started();
     mLoadCounted = true;
     mPromptCounted = true;
 }
 
+/// Tells the holder of an engine whether requests of this instance run on the adapter.
+void forward_run::tellRunning(const engines::endpoint &inTarget, bool inRunning)
+{
+    fleet::adapter_running change{mChoice.endpoint, mEndpointStart,
+                                  engines::adapterKey(mWork.model, mWork.adapter), inRunning};
+    if (inTarget.holder == mContext.instance)
+        mContext.registry.post("orders", orders::local_adapter_running{std::move(change)});
+    else if (!inTarget.holder.empty())
+        mContext.registry.post("mesh", fleet::mesh_send{inTarget.holder, std::move(change)});
+}
+
 void forward_run::firstEventSeen()
 {
     if (!mFirstByteAt)
@@ -403,10 +414,11 @@
     if (target == nullptr || target->entry.startedMs != mEndpointStart)
         return;
     --target->own.requests;
-    const auto running
-        = target->ownRunning.find(engines::adapterKey(mWork.model, mWork.adapter));
-    if (running != target->ownRunning.end() && --running->second <= 0)
+    const auto running = target->ownRunning.find(engines::adapterKey(mWork.model, mWork.adapter));
+    if (running != target->ownRunning.end() && --running->second <= 0) {
         target->ownRunning.erase(running);
+        tellRunning(*target, false);
+    }
     target->own.memoryTokens -= mMemoryTokens;
     if (mPromptCounted)
         target->own.promptTokens -= mWork.promptTokens;
--- a/corneltally/forwarding/forward_run.h
+++ b/corneltally/forwarding/forward_run.h
@@ -78,6 +78,7 @@
     void breakOff(std::string_view inReason);
     void noteWaiting(engines::endpoint &ioTarget);
     void endWaiting();
+    void tellRunning(const engines::endpoint &inTarget, bool inRunning);
     void beginLoad();
     void endLoad();
     void firstEventSeen();
--- a/corneltally/forwarding/front_service.cpp
+++ b/corneltally/forwarding/front_service.cpp
@@ -229,8 +229,8 @@
             part.adaptersRunning.push_back({id, adapter});
     }
     part.adapterUses = std::exchange(mContext.adapterUses, {});
-    mContext.registry.post(
-        "orders", orders::local_adapter_uses{part.adapterUses, part.adaptersRunning});
+    mContext.registry.post("orders",
+                           orders::local_adapter_uses{part.adapterUses, part.adaptersRunning});
     mContext.registry.post("mesh", std::move(part));
 }
 
--- a/corneltally/orders/engine_keeper.cpp
+++ b/corneltally/orders/engine_keeper.cpp
@@ -77,19 +77,32 @@
 void engine_keeper::used(const std::string &inKey, core::time_point inNow)
 {
     mUsed[inKey] = inNow;
-    mRunning[inKey] = inNow;
     mSlots.requested(inKey, cUseWeight, inNow);
 }
 
-void engine_keeper::running(const std::string &inKey, core::time_point inNow)
+void engine_keeper::running(const std::string &inInstance, const std::string &inKey, bool inRunning,
+                            core::time_point inNow)
+{
+    instance_use &use = mRunning[inInstance];
+    use.at = inNow;
+    if (inRunning)
+        use.adapters.insert(inKey);
+    else
+        use.adapters.erase(inKey);
+}
+
+void engine_keeper::runningSet(const std::string &inInstance,
+                               std::set<std::string, std::less<>> inKeys, core::time_point inNow)
 {
-    mRunning[inKey] = inNow;
+    mRunning.insert_or_assign(inInstance, instance_use{std::move(inKeys), inNow});
 }
 
 bool engine_keeper::isRunning(const std::string &inKey, core::time_point inNow) const
 {
-    const auto found = mRunning.find(inKey);
-    return found != mRunning.end() && inNow - found->second < mSettings.useTime;
+    return std::ranges::any_of(mRunning, [&](const auto &inEntry) {
+        return inNow - inEntry.second.at < mSettings.useTime
+            && inEntry.second.adapters.contains(inKey);
+    });
 }
 
 void engine_keeper::missing(const std::string &inKey, core::time_point inNow)
@@ -298,10 +311,10 @@
     if (std::ranges::find(mWarm, inKey) != mWarm.end())
         factor = mSettings.warmLoad;
     else
-        factor = std::max(1.0,
-                          static_cast<double>(mArriving.size() + 1
-                                              + static_cast<std::size_t>(mArrivingElsewhere))
-                              / mSettings.parallelLoads);
+        factor = std::max(
+            1.0,
+            static_cast<double>(mArriving.size() + 1 + static_cast<std::size_t>(mArrivingElsewhere))
+                / mSettings.parallelLoads);
     return std::chrono::duration_cast<core::duration>(mSettings.adapterLoad * factor);
 }
 
@@ -332,9 +345,9 @@
         ++mRevision;
         entry = mArriving.erase(entry);
     }
-    const auto isOld = [&](const auto &inEntry) { return inNow - inEntry.second > cUseMemory; };
-    std::erase_if(mUsed, isOld);
-    std::erase_if(mRunning, isOld);
+    std::erase_if(mUsed, [&](const auto &inEntry) { return inNow - inEntry.second > cUseMemory; });
+    std::erase_if(mRunning,
+                  [&](const auto &inEntry) { return inNow - inEntry.second.at > cUseMemory; });
     mSlots.prune(inNow);
 }
 
--- a/corneltally/orders/engine_keeper.h
+++ b/corneltally/orders/engine_keeper.h
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -33,9 +34,9 @@
     core::duration lateLoadPause = std::chrono::milliseconds(80);
     /// Adapters that may be on their way to one engine at the same time (platform's pages: 4).
     int maxArriving = 4;
-    /// An adapter counts as in use for this long after an instance said so; instances say it five
-    /// times a second while a request runs.
-    core::duration useTime = std::chrono::milliseconds(500);
+    /// An instance's word on the adapters that it runs on counts for this long; heartbeats repeat
+    /// it five times a second.
+    core::duration useTime = std::chrono::milliseconds(1500);
     /// A version that was named is loaded over an adapter in use only after this time: the engine
     /// takes no other order until the adapter's requests have ended. The operator's bound is 5 s.
     core::duration replacementPatience = std::chrono::milliseconds(2500);
@@ -71,8 +72,12 @@
     /// A request was sent for an adapter.
     void used(const std::string &inKey, core::time_point inNow);
 
-    /// A request runs on an adapter.
-    void running(const std::string &inKey, core::time_point inNow);
+    /// An instance's first request on an adapter began, or its last one ended.
+    void running(const std::string &inInstance, const std::string &inKey, bool inRunning,
+                 core::time_point inNow);
+    /// All adapters that an instance runs on.
+    void runningSet(const std::string &inInstance, std::set<std::string, std::less<>> inKeys,
+                    core::time_point inNow);
 
     /// The engine refused a request because the adapter is not there: its load takes longer than
     /// expected, or the engine lost it. It keeps its place until a report shows which.
@@ -126,6 +131,11 @@
         bool repeated = false;
         core::time_point notBefore;
     };
+    struct instance_use
+    {
+        std::set<std::string, std::less<>> adapters;
+        core::time_point at;
+    };
     struct named_version
     {
         std::uint64_t version = 0;
@@ -154,7 +164,7 @@
     std::map<std::string, named_version, std::less<>> mNamed;
     std::map<std::string, demand, std::less<>> mDemand;
     std::map<std::string, core::time_point, std::less<>> mUsed;
-    std::map<std::string, core::time_point, std::less<>> mRunning;
+    std::map<std::string, instance_use, std::less<>> mRunning;
     std::vector<std::string> mModels;
     /// Adapters that were unloaded, the latest last.
     std::vector<std::string> mWarm;
--- a/corneltally/orders/holder_claims.cpp
+++ b/corneltally/orders/holder_claims.cpp
@@ -51,10 +51,27 @@
 
 bool holder_claims::mayOrder(std::string_view inEngine, core::time_point inNow) const
 {
-    return holds(inEngine) && inNow - mConfirmedAt < mSettings.lookAge
+    return holds(inEngine) && lookIsValid(inNow)
         && inNow >= mEngines.find(inEngine)->second.notBefore;
 }
 
+bool holder_claims::lookIsValid(core::time_point inNow) const
+{
+    const core::duration age = inNow - mConfirmedAt;
+    if (age < mSettings.lookAge)
+        return true;
+    return age < mSettings.promisedLookAge
+        && std::ranges::all_of(mMembers, [&](const std::string &inMember) {
+               const auto found = mHeardBy.find(inMember);
+               return found != mHeardBy.end() && inNow - found->second < mSettings.promiseAge;
+           });
+}
+
+void holder_claims::heardBy(std::string_view inInstance, core::time_point inNow)
+{
+    mHeardBy.insert_or_assign(std::string(inInstance), inNow);
+}
+
 const claim *holder_claims::find(std::string_view inEngine) const
 {
     const auto found = mEngines.find(inEngine);
--- a/corneltally/orders/holder_claims.h
+++ b/corneltally/orders/holder_claims.h
@@ -8,6 +8,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace corneltally::orders {
@@ -15,14 +16,20 @@
 /// Constants of claims on engines.
 struct claim_settings
 {
-    /// A holder orders only while its last look at the claims is younger than this.
-    core::duration lookAge = std::chrono::milliseconds(3000);
+    /// A holder orders only while its last look at the claims is younger than this, ...
+    core::duration lookAge = std::chrono::milliseconds(2000);
+    /// ... or younger than this while all instances that it knows of say that they hear it: nobody
+    /// claims engines of an instance that it hears. An instance that the holder does not know of
+    /// yet can't order before its own silence and its wait for the holder are over.
+    core::duration promisedLookAge = std::chrono::milliseconds(7000);
+    /// Longest age of such a word.
+    core::duration promiseAge = std::chrono::milliseconds(1200);
     /// Time between the orders of two holders of one engine that the operator asks for.
     core::duration changePause = std::chrono::milliseconds(3000);
     /// Added to the changePause for delays of orders on their way.
     core::duration margin = std::chrono::milliseconds(400);
     /// An instance that was not heard for this long loses its engines.
-    core::duration silence = std::chrono::milliseconds(4000);
+    core::duration silence = std::chrono::milliseconds(2500);
 };
 
 /// Who holds an engine.
@@ -75,6 +82,12 @@
     /// Another instance gave a sign of life.
     void heard(std::string_view inInstance, core::time_point inNow);
 
+    /// Another instance said that it hears this one.
+    void heardBy(std::string_view inInstance, core::time_point inNow);
+
+    /// All other instances that may exist.
+    void setMembers(std::vector<std::string> inMembers) { mMembers = std::move(inMembers); }
+
     /// Engines that this instance should claim now, of those that exist.
     std::vector<std::string> wanted(const std::vector<std::string> &inEngines,
                                     const std::set<std::string> &inLiveInstances,
@@ -94,11 +107,14 @@
     };
 
     core::time_point lastHeard(const std::string &inInstance) const;
+    bool lookIsValid(core::time_point inNow) const;
 
     claim_settings mSettings;
     claim mSelf;
     std::map<std::string, held_engine, std::less<>> mEngines;
     std::map<std::string, core::time_point, std::less<>> mHeard;
+    std::map<std::string, core::time_point, std::less<>> mHeardBy;
+    std::vector<std::string> mMembers;
     core::time_point mConfirmedAt;
     std::optional<core::time_point> mFirstConfirmed;
 };
--- a/corneltally/orders/order_messages.h
+++ b/corneltally/orders/order_messages.h
@@ -19,6 +19,12 @@
     fleet::adapter_missing missing;
 };
 
+/// The first request of this instance on an adapter began, or its last one ended.
+struct local_adapter_running
+{
+    fleet::adapter_running change;
+};
+
 /// Adapters that requests of this instance were sent for since the last message, and those that
 /// requests run on now.
 struct local_adapter_uses
--- a/corneltally/orders/order_service.cpp
+++ b/corneltally/orders/order_service.cpp
@@ -91,6 +91,7 @@
     mRegistry.handle<fleet::instances_changed>(
         cName, [this](const fleet::instances_changed &inChanged) {
             mLive = {inChanged.live.begin(), inChanged.live.end()};
+            mClaims.setMembers(inChanged.members);
         });
     mRegistry.handle<fleet::mesh_received>(cName, [this](const fleet::mesh_received &inReceived) {
         mClaims.heard(inReceived.instance, core::boot_clock::now());
@@ -98,10 +99,14 @@
             wanted(*request, inReceived.instance);
         else if (const auto *report = std::get_if<fleet::adapter_missing>(&inReceived.body))
             missing(*report);
+        else if (const auto *change = std::get_if<fleet::adapter_running>(&inReceived.body))
+            running(inReceived.instance, *change);
         else if (const auto *state = std::get_if<fleet::engine_state>(&inReceived.body))
             mElsewhere[state->endpoint] = state->adapters;
         else if (const auto *beat = std::get_if<fleet::heartbeat>(&inReceived.body)) {
-            used(beat->adapterUses, beat->adaptersRunning);
+            if (std::ranges::find(beat->heard, mOptions.self.instance) != beat->heard.end())
+                mClaims.heardBy(inReceived.instance, core::boot_clock::now());
+            used(inReceived.instance, beat->adapterUses, beat->adaptersRunning);
         }
     });
     mRegistry.handle<local_load_wanted>(
@@ -109,7 +114,10 @@
     mRegistry.handle<local_adapter_missing>(
         cName, [this](const local_adapter_missing &inLocal) { missing(inLocal.missing); });
     mRegistry.handle<local_adapter_uses>(cName, [this](const local_adapter_uses &inLocal) {
-        used(inLocal.sent, inLocal.running);
+        used(mOptions.self.instance, inLocal.sent, inLocal.running);
+    });
+    mRegistry.handle<local_adapter_running>(cName, [this](const local_adapter_running &inLocal) {
+        running(mOptions.self.instance, inLocal.change);
     });
 }
 
@@ -262,7 +270,8 @@
     pump(inMissing.endpoint, found->second, now);
 }
 
-void order_service::used(const std::vector<fleet::adapter_use> &inSent,
+void order_service::used(const std::string &inInstance,
+                         const std::vector<fleet::adapter_use> &inSent,
                          const std::vector<fleet::adapter_use> &inRunning)
 {
     const core::time_point now = core::boot_clock::now();
@@ -271,11 +280,23 @@
         if (found != mHeld.end())
             found->second.keeper.used(use.adapter, now);
     }
-    for (const fleet::adapter_use &use : inRunning) {
-        const auto found = mHeld.find(use.endpoint);
-        if (found != mHeld.end())
-            found->second.keeper.running(use.adapter, now);
-    }
+    std::map<std::string, std::set<std::string, std::less<>>> running;
+    for (const fleet::adapter_use &use : inRunning)
+        running[use.endpoint].insert(use.adapter);
+    for (auto &[engine, state] : mHeld)
+        state.keeper.runningSet(inInstance, std::move(running[engine]), now);
+}
+
+void order_service::running(const std::string &inInstance, const fleet::adapter_running &inChange)
+{
+    const auto found = mHeld.find(inChange.endpoint);
+    if (found == mHeld.end() || found->second.keeper.entry().startedMs != inChange.startedMs)
+        return;
+    const core::time_point now = core::boot_clock::now();
+    found->second.keeper.running(inInstance, inChange.adapter, inChange.running, now);
+    // A place that can be made free may be what a request waits for.
+    if (!inChange.running)
+        pump(inChange.endpoint, found->second, now);
 }
 
 void order_service::tick()
--- a/corneltally/orders/order_service.h
+++ b/corneltally/orders/order_service.h
@@ -64,7 +64,8 @@
     void claimEngines(core::time_point inNow);
     void wanted(const fleet::load_wanted &inWanted, std::string_view inFrom);
     void missing(const fleet::adapter_missing &inMissing);
-    void used(const std::vector<fleet::adapter_use> &inSent,
+    void running(const std::string &inInstance, const fleet::adapter_running &inChange);
+    void used(const std::string &inInstance, const std::vector<fleet::adapter_use> &inSent,
               const std::vector<fleet::adapter_use> &inRunning);
     void versionNamed(const catalog::adapter_version_named &inNamed);
     void describe(const std::string &inEngine);
--- a/schemas/fleet_generated.h
+++ b/schemas/fleet_generated.h
@@ -44,6 +44,10 @@
 struct AdapterMissingBuilder;
 struct AdapterMissingT;
 
+struct AdapterRunning;
+struct AdapterRunningBuilder;
+struct AdapterRunningT;
+
 struct HeldAdapter;
 struct HeldAdapterBuilder;
 struct HeldAdapterT;
@@ -68,11 +72,12 @@
   AdapterMissing = 4,
   EngineState = 5,
   OperatorRecord = 6,
+  AdapterRunning = 7,
   MIN = NONE,
-  MAX = OperatorRecord
+  MAX = AdapterRunning
 };
 
-inline const Body (&EnumValuesBody())[7] {
+inline const Body (&EnumValuesBody())[8] {
   static const Body values[] = {
     Body::NONE,
     Body::Hello,
@@ -80,13 +85,14 @@
     Body::LoadWanted,
     Body::AdapterMissing,
     Body::EngineState,
-    Body::OperatorRecord
+    Body::OperatorRecord,
+    Body::AdapterRunning
   };
   return values;
 }
 
 inline const char * const *EnumNamesBody() {
-  static const char * const names[8] = {
+  static const char * const names[9] = {
     "NONE",
     "Hello",
     "Heartbeat",
@@ -94,13 +100,14 @@
     "AdapterMissing",
     "EngineState",
     "OperatorRecord",
+    "AdapterRunning",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameBody(Body e) {
-  if (flatbuffers::IsOutRange(e, Body::NONE, Body::OperatorRecord)) return "";
+  if (flatbuffers::IsOutRange(e, Body::NONE, Body::AdapterRunning)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesBody()[index];
 }
@@ -133,6 +140,10 @@
   static const Body enum_value = Body::OperatorRecord;
 };
 
+template<> struct BodyTraits<corneltally::fleet_wire::AdapterRunning> {
+  static const Body enum_value = Body::AdapterRunning;
+};
+
 template<typename T> struct BodyUnionTraits {
   static const Body enum_value = Body::NONE;
 };
@@ -161,6 +172,10 @@
   static const Body enum_value = Body::OperatorRecord;
 };
 
+template<> struct BodyUnionTraits<corneltally::fleet_wire::AdapterRunningT> {
+  static const Body enum_value = Body::AdapterRunning;
+};
+
 struct BodyUnion {
   Body type;
   void *value;
@@ -239,6 +254,14 @@
     return type == Body::OperatorRecord ?
       reinterpret_cast<const corneltally::fleet_wire::OperatorRecordT *>(value) : nullptr;
   }
+  corneltally::fleet_wire::AdapterRunningT *AsAdapterRunning() {
+    return type == Body::AdapterRunning ?
+      reinterpret_cast<corneltally::fleet_wire::AdapterRunningT *>(value) : nullptr;
+  }
+  const corneltally::fleet_wire::AdapterRunningT *AsAdapterRunning() const {
+    return type == Body::AdapterRunning ?
+      reinterpret_cast<const corneltally::fleet_wire::AdapterRunningT *>(value) : nullptr;
+  }
 };
 
 bool VerifyBody(flatbuffers::Verifier &verifier, const void *obj, Body type);
@@ -1047,6 +1070,117 @@
 
 flatbuffers::Offset<AdapterMissing> CreateAdapterMissing(flatbuffers::FlatBufferBuilder &_fbb, const AdapterMissingT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct AdapterRunningT : public flatbuffers::NativeTable {
+  typedef AdapterRunning TableType;
+  std::string endpoint{};
+  uint64_t started_ms = 0;
+  std::string adapter{};
+  bool running = false;
+};
+
+struct AdapterRunning FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef AdapterRunningT NativeTableType;
+  typedef AdapterRunningBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ENDPOINT = 4,
+    VT_STARTED_MS = 6,
+    VT_ADAPTER = 8,
+    VT_RUNNING = 10
+  };
+  const flatbuffers::String *endpoint() const {
+    return GetPointer<const flatbuffers::String *>(VT_ENDPOINT);
+  }
+  uint64_t started_ms() const {
+    return GetField<uint64_t>(VT_STARTED_MS, 0);
+  }
+  const flatbuffers::String *adapter() const {
+    return GetPointer<const flatbuffers::String *>(VT_ADAPTER);
+  }
+  bool running() const {
+    return GetField<uint8_t>(VT_RUNNING, 0) != 0;
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffsetRequired(verifier, VT_ENDPOINT) &&
+           verifier.VerifyString(endpoint()) &&
+           VerifyField<uint64_t>(verifier, VT_STARTED_MS, 8) &&
+           VerifyOffsetRequired(verifier, VT_ADAPTER) &&
+           verifier.VerifyString(adapter()) &&
+           VerifyField<uint8_t>(verifier, VT_RUNNING, 1) &&
+           verifier.EndTable();
+  }
+  AdapterRunningT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(AdapterRunningT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<AdapterRunning> Pack(flatbuffers::FlatBufferBuilder &_fbb, const AdapterRunningT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct AdapterRunningBuilder {
+  typedef AdapterRunning Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_endpoint(flatbuffers::Offset<flatbuffers::String> endpoint) {
+    fbb_.AddOffset(AdapterRunning::VT_ENDPOINT, endpoint);
+  }
+  void add_started_ms(uint64_t started_ms) {
+    fbb_.AddElement<uint64_t>(AdapterRunning::VT_STARTED_MS, started_ms, 0);
+  }
+  void add_adapter(flatbuffers::Offset<flatbuffers::String> adapter) {
+    fbb_.AddOffset(AdapterRunning::VT_ADAPTER, adapter);
+  }
+  void add_running(bool running) {
+    fbb_.AddElement<uint8_t>(AdapterRunning::VT_RUNNING, static_cast<uint8_t>(running), 0);
+  }
+  explicit AdapterRunningBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<AdapterRunning> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<AdapterRunning>(end);
+    fbb_.Required(o, AdapterRunning::VT_ENDPOINT);
+    fbb_.Required(o, AdapterRunning::VT_ADAPTER);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<AdapterRunning> CreateAdapterRunning(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> endpoint = 0,
+    uint64_t started_ms = 0,
+    flatbuffers::Offset<flatbuffers::String> adapter = 0,
+    bool running = false) {
+  AdapterRunningBuilder builder_(_fbb);
+  builder_.add_started_ms(started_ms);
+  builder_.add_adapter(adapter);
+  builder_.add_endpoint(endpoint);
+  builder_.add_running(running);
+  return builder_.Finish();
+}
+
+struct AdapterRunning::Traits {
+  using type = AdapterRunning;
+  static auto constexpr Create = CreateAdapterRunning;
+};
+
+inline flatbuffers::Offset<AdapterRunning> CreateAdapterRunningDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *endpoint = nullptr,
+    uint64_t started_ms = 0,
+    const char *adapter = nullptr,
+    bool running = false) {
+  auto endpoint__ = endpoint ? _fbb.CreateString(endpoint) : 0;
+  auto adapter__ = adapter ? _fbb.CreateString(adapter) : 0;
+  return corneltally::fleet_wire::CreateAdapterRunning(
+      _fbb,
+      endpoint__,
+      started_ms,
+      adapter__,
+      running);
+}
+
+flatbuffers::Offset<AdapterRunning> CreateAdapterRunning(flatbuffers::FlatBufferBuilder &_fbb, const AdapterRunningT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct HeldAdapterT : public flatbuffers::NativeTable {
   typedef HeldAdapter TableType;
   std::string adapter{};
@@ -1450,6 +1584,9 @@
   const corneltally::fleet_wire::OperatorRecord *body_as_OperatorRecord() const {
     return body_type() == corneltally::fleet_wire::Body::OperatorRecord ? static_cast<const corneltally::fleet_wire::OperatorRecord *>(body()) : nullptr;
   }
+  const corneltally::fleet_wire::AdapterRunning *body_as_AdapterRunning() const {
+    return body_type() == corneltally::fleet_wire::Body::AdapterRunning ? static_cast<const corneltally::fleet_wire::AdapterRunning *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_BODY_TYPE, 1) &&
@@ -1486,6 +1623,10 @@
   return body_as_OperatorRecord();
 }
 
+template<> inline const corneltally::fleet_wire::AdapterRunning *Envelope::body_as<corneltally::fleet_wire::AdapterRunning>() const {
+  return body_as_AdapterRunning();
+}
+
 struct EnvelopeBuilder {
   typedef Envelope Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -1798,6 +1939,41 @@
       _adapter);
 }
 
+inline AdapterRunningT *AdapterRunning::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<AdapterRunningT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void AdapterRunning::UnPackTo(AdapterRunningT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = endpoint(); if (_e) _o->endpoint = _e->str(); }
+  { auto _e = started_ms(); _o->started_ms = _e; }
+  { auto _e = adapter(); if (_e) _o->adapter = _e->str(); }
+  { auto _e = running(); _o->running = _e; }
+}
+
+inline flatbuffers::Offset<AdapterRunning> AdapterRunning::Pack(flatbuffers::FlatBufferBuilder &_fbb, const AdapterRunningT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateAdapterRunning(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<AdapterRunning> CreateAdapterRunning(flatbuffers::FlatBufferBuilder &_fbb, const AdapterRunningT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const AdapterRunningT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _endpoint = _fbb.CreateString(_o->endpoint);
+  auto _started_ms = _o->started_ms;
+  auto _adapter = _fbb.CreateString(_o->adapter);
+  auto _running = _o->running;
+  return corneltally::fleet_wire::CreateAdapterRunning(
+      _fbb,
+      _endpoint,
+      _started_ms,
+      _adapter,
+      _running);
+}
+
 inline HeldAdapterT *HeldAdapter::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<HeldAdapterT>();
   UnPackTo(_o.get(), _resolver);
@@ -1990,6 +2166,10 @@
       auto ptr = reinterpret_cast<const corneltally::fleet_wire::OperatorRecord *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Body::AdapterRunning: {
+      auto ptr = reinterpret_cast<const corneltally::fleet_wire::AdapterRunning *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -2033,6 +2213,10 @@
       auto ptr = reinterpret_cast<const corneltally::fleet_wire::OperatorRecord *>(obj);
       return ptr->UnPack(resolver);
     }
+    case Body::AdapterRunning: {
+      auto ptr = reinterpret_cast<const corneltally::fleet_wire::AdapterRunning *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -2064,6 +2248,10 @@
       auto ptr = reinterpret_cast<const corneltally::fleet_wire::OperatorRecordT *>(value);
       return CreateOperatorRecord(_fbb, ptr, _rehasher).Union();
     }
+    case Body::AdapterRunning: {
+      auto ptr = reinterpret_cast<const corneltally::fleet_wire::AdapterRunningT *>(value);
+      return CreateAdapterRunning(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -2094,6 +2282,10 @@
       value = new corneltally::fleet_wire::OperatorRecordT(*reinterpret_cast<corneltally::fleet_wire::OperatorRecordT *>(u.value));
       break;
     }
+    case Body::AdapterRunning: {
+      value = new corneltally::fleet_wire::AdapterRunningT(*reinterpret_cast<corneltally::fleet_wire::AdapterRunningT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -2131,6 +2323,11 @@
       delete ptr;
       break;
     }
+    case Body::AdapterRunning: {
+      auto ptr = reinterpret_cast<corneltally::fleet_wire::AdapterRunningT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
--- a/tests/unit/fleet_codec_test.cpp
+++ b/tests/unit/fleet_codec_test.cpp
@@ -33,6 +33,7 @@
                                     .adaptersRunning = {{"e1", "base/a2"}}});
     checkRoundTrip(fleet::load_wanted{"e1", 5, "base", "a1", 2, 900});
     checkRoundTrip(fleet::adapter_missing{"e1", 5, "base/a1"});
+    checkRoundTrip(fleet::adapter_running{"e1", 5, "base/a1", true});
     checkRoundTrip(fleet::engine_state{
         "e1", 5, true, {{{"base/a1", 1}}, {{"base/a2", {3, cNow + 250ms}}}}, {"base"}});
     checkRoundTrip(fleet::operator_record{"config", 9, std::string("\0{}", 3)});
