Start rates without the others' past, and stop without cutting late requests

Change: what was charged before an instance is first heard does not count. Cause (a connection refused by all four draining instances): the listener closed 2.6 s after SIGTERM. Change: it stays open; streams are refused when less than 5 s are left, plain requests with 1.5 s.

--- a/corneltally/forwarding/forward_context.h
+++ b/corneltally/forwarding/forward_context.h
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -51,6 +52,10 @@
     core::duration retryAfterSpread = std::chrono::milliseconds(350);
     /// Caller connections without a sign of life end after this time.
     core::duration callerDataTimeout = std::chrono::seconds(8);
+    /// A stopping instance takes no request that may need longer than it has left: streams of the
+    /// deployment sheets last up to 6 s, plain requests up to half a second.
+    core::duration streamTime = std::chrono::milliseconds(5000);
+    core::duration plainTime = std::chrono::milliseconds(1500);
     engines::choice_settings choice;
 };
 
@@ -72,6 +77,8 @@
     std::map<std::string, std::uint64_t, std::less<>> namedVersions;
     /// Adapters that requests were sent for since the last heartbeat.
     std::vector<fleet::adapter_use> adapterUses;
+    /// When this instance ends, if it is stopping.
+    std::optional<core::time_point> stopAt;
 };
 
 } // namespace corneltally::forwarding
--- a/corneltally/forwarding/forward_run.cpp
+++ b/corneltally/forwarding/forward_run.cpp
@@ -127,6 +127,12 @@
         refuseBusy("the route has no service");
         return false;
     }
+    const core::duration needed = routing::isStream(mRoute->kind) ? mContext.settings.streamTime
+                                                                  : mContext.settings.plainTime;
+    if (mContext.stopAt && *mContext.stopAt - now < needed) {
+        refuseBusy("the instance is stopping");
+        return false;
+    }
     const routing::client_account *account = mTable->findAccount(mAccount);
     if (account != nullptr && account->ratePerSecond > 0) {
         double amount = 1;
--- a/corneltally/forwarding/front_service.cpp
+++ b/corneltally/forwarding/front_service.cpp
@@ -35,7 +35,8 @@
                .allowance = {},
                .retries = limits::fleet_retry_budget(mOptions.retries),
                .namedVersions = {},
-               .adapterUses = {}}
+               .adapterUses = {},
+               .stopAt = {}}
     , mPrune(ioRegistry.loop(),
              [this] {
                  mContext.pool.prune();
@@ -234,14 +235,14 @@
     mContext.registry.post("mesh", std::move(part));
 }
 
-void front_service::beginDrain()
+void front_service::beginDrain(core::time_point inEnd)
 {
     mDraining = true;
+    mContext.stopAt = inEnd;
 }
 
 void front_service::closeIdle()
 {
-    mListener.stop();
     for (auto &[id, entry] : mCallers)
         entry.connection->closeWhenIdle();
 }
--- a/corneltally/forwarding/front_service.h
+++ b/corneltally/forwarding/front_service.h
@@ -49,10 +49,12 @@
     /// way.
     bool ready() const;
 
-    /// Answers say that their connection closes; requests are still served.
-    void beginDrain();
-    /// Closes idle connections and accepts no new ones.
+    /// Answers say that their connection closes; requests are still served if they can end before
+    /// the instance does.
+    void beginDrain(core::time_point inEnd);
+    /// Closes idle connections.
     void closeIdle();
+    void stopListening() { mListener.stop(); }
     std::size_t running() const;
 
     void setRetryLimits(const limits::fleet_retry_budget::limits &inLimits)
--- a/corneltally/forwarding/instance.cpp
+++ b/corneltally/forwarding/instance.cpp
@@ -33,6 +33,8 @@
 /// Time after SIGTERM in which callers still arrive: the balancer asks once a second and takes an
 /// instance out after two misses.
 constexpr core::duration cRotationTime = milliseconds(2600);
+/// Callers are no longer accepted this long before the end by force.
+constexpr core::duration cLastRequestTime = milliseconds(1000);
 /// An instance without running requests ends; checked this often while it drains.
 constexpr core::duration cDrainCheck = milliseconds(50);
 /// The process ends this long before it would be ended by force.
@@ -191,7 +193,7 @@
             return;
         mDrainBegan = core::boot_clock::now();
         core::logEvent(core::log_level::info, "drain_began", {{"running", mFront.running()}});
-        mFront.beginDrain();
+        mFront.beginDrain(*mDrainBegan + milliseconds(mSettings.stopMs) - cStopMargin);
         mMesh.setDraining();
         mDrainTimer.startRepeating(cDrainCheck);
     }
@@ -206,6 +208,9 @@
             mFront.closeIdle();
             mIdleClosedAt = core::boot_clock::now();
         }
+        // While other instances drain as well, callers may have nowhere else to go.
+        if (elapsed >= milliseconds(mSettings.stopMs) - cLastRequestTime)
+            mFront.stopListening();
         // Connections that are closing still take a moment to hand over their last bytes.
         const bool settled = core::boot_clock::now() - mIdleClosedAt > cDrainCheck * 4;
         if ((mFront.running() == 0 && settled)
--- a/corneltally/limits/fleet_allowance.cpp
+++ b/corneltally/limits/fleet_allowance.cpp
@@ -54,14 +54,17 @@
     peer_state &peer = mPeers[inPeer];
     if (peer.incarnation != inIncarnation) {
         peer.incarnation = inIncarnation;
-        peer.totals.clear();
+        for (auto &[account, total] : peer.totals)
+            total = 0;
     }
+    // What an instance charged before it was first heard is not known to be recent.
+    const bool isFirst = !peer.heard && peer.totals.empty();
     peer.heard = inNow;
     for (const account_use &use : inUses) {
         const auto found = mAccounts.find(use.account);
         double &known = peer.totals[use.account];
         // Negative if the instance gave back more than it charged.
-        const double used = use.amount - known;
+        const double used = isFirst ? 0 : use.amount - known;
         known = use.amount;
         if (found == mAccounts.end())
             continue;
--- a/tests/unit/forwarding_front_test.cpp
+++ b/tests/unit/forwarding_front_test.cpp
@@ -446,10 +446,22 @@
     front_fixture fixture;
     fixture.configure(repetition::once, 1);
     CHECK(fixture.front.ready());
-    fixture.front.beginDrain();
+    fixture.front.beginDrain(core::boot_clock::now() + 8s);
     CHECK_FALSE(fixture.front.ready());
     fixture.first.script = {{cSealed}};
     const caller_view view = fixture.call();
     CHECK(view.status == 200);
     CHECK(http1::findField(view.fields, "Connection") == "close");
 }
+
+TEST_CASE("a stopping instance takes no stream that it would have to cut")
+{
+    front_fixture fixture;
+    fixture.configure(repetition::once_stream, 1);
+    fixture.front.beginDrain(core::boot_clock::now() + 3s);
+    CHECK(fixture.call().status == 503);
+    CHECK(fixture.first.requests.empty());
+    fixture.configure(repetition::once, 1);
+    fixture.first.script = {{cSealed}};
+    CHECK(fixture.call().status == 200);
+}
--- a/tests/unit/limits_fleet_allowance_test.cpp
+++ b/tests/unit/limits_fleet_allowance_test.cpp
@@ -94,6 +94,21 @@
     CHECK(fleet.drain(0) == 0);
 }
 
+TEST_CASE("an instance that starts among others is not charged for all that they ever used")
+{
+    two_instances fleet;
+    for (int step = 0; step < 100; ++step) {
+        fleet.advance(100ms);
+        fleet.drain(1);
+    }
+    fleet.advance(2s);
+    fleet.instances[0] = limits::fleet_allowance();
+    fleet.instances[0].setPeers({"b"}, fleet.now);
+    fleet.instances[0].configure("north", 1000, 1000, fleet.now);
+    fleet.advance(1500ms);
+    CHECK(fleet.drain(0) >= 900);
+}
+
 TEST_CASE("a lowered limit holds at once, and a charge can be given back")
 {
     two_instances fleet;
