--- a/corneltally/orders/engine_keeper.cpp
+++ b/corneltally/orders/engine_keeper.cpp
@@ -307,15 +307,16 @@
 
 core::duration engine_keeper::loadTime(const std::string &inKey) const
 {
-    double factor = 1;
+    const auto scaled = [this](double inFactor) {
+        return std::chrono::duration_cast<core::duration>(mSettings.adapterLoad * inFactor);
+    };
     if (std::ranges::find(mWarm, inKey) != mWarm.end())
-        factor = mSettings.warmLoad;
-    else
-        factor = std::max(
-            1.0,
-            static_cast<double>(mArriving.size() + 1 + static_cast<std::size_t>(mArrivingElsewhere))
-                / mSettings.parallelLoads);
-    return std::chrono::duration_cast<core::duration>(mSettings.adapterLoad * factor);
+        return scaled(mSettings.warmLoad);
+    const double parallel
+        = std::max<double>(mSettings.parallelLoads, mSettings.parallelLoadsPerEngine * mEngines);
+    const double underWay
+        = static_cast<double>(mArriving.size()) + 1 + static_cast<double>(mArrivingElsewhere);
+    return scaled(std::clamp(underWay / parallel, 1.0, mSettings.maxSlowDown));
 }
 
 /// Settles an order that was sent twice by what a later report shows.
--- a/corneltally/orders/engine_keeper.h
+++ b/corneltally/orders/engine_keeper.h
@@ -22,9 +22,14 @@
 {
     /// Time to load an adapter (deployment sheets: 250 ms).
     core::duration adapterLoad = std::chrono::milliseconds(250);
-    /// Adapters on their way over all engines beyond which loads slow down in proportion
-    /// (deployment sheets: 8).
+    /// Adapters on their way over all engines beyond which loads slow down in proportion: the
+    /// greater of a number and a share of the engines (deployment sheets: 8 for 12 engines, 40 and
+    /// 32 for 90).
     int parallelLoads = 8;
+    double parallelLoadsPerEngine = 0.35;
+    /// Bound of the slow-down that is assumed. Without it, long estimates would make more loads
+    /// count as under way, and so grow further.
+    double maxSlowDown = 3;
     /// Part of the load time that an adapter takes which the engine held recently (platform's
     /// pages: a tenth).
     double warmLoad = 0.1;
@@ -83,8 +88,12 @@
     /// expected, or the engine lost it. It keeps its place until a report shows which.
     void missing(const std::string &inKey, core::time_point inNow);
 
-    /// Adapters on their way to all other engines. Beyond a number of them each load takes longer.
-    void setArrivingElsewhere(int inCount) { mArrivingElsewhere = inCount; }
+    /// Adapters on their way to all other engines, and the number of engines.
+    void setFleet(int inArrivingElsewhere, int inEngines)
+    {
+        mArrivingElsewhere = inArrivingElsewhere;
+        mEngines = inEngines;
+    }
 
     /// The operator named a version of an adapter: a resident older one has to be replaced.
     void versionNamed(const std::string &inKey, std::uint64_t inVersion, core::time_point inNow);
@@ -169,6 +178,7 @@
     /// Adapters that were unloaded, the latest last.
     std::vector<std::string> mWarm;
     int mArrivingElsewhere = 0;
+    int mEngines = 1;
     std::optional<std::uint64_t> mOrders;
     std::optional<under_way> mUnderWay;
     /// An order whose effect only a report can show, since it was sent twice.
--- a/corneltally/orders/order_service.cpp
+++ b/corneltally/orders/order_service.cpp
@@ -331,7 +331,8 @@
 {
     ioHeld.keeper.advance(inNow);
     if (mClaims.mayOrder(inEngine, inNow)) {
-        ioHeld.keeper.setArrivingElsewhere(arrivingElsewhere(inEngine, inNow));
+        ioHeld.keeper.setFleet(arrivingElsewhere(inEngine, inNow),
+                               static_cast<int>(mEntries.size()));
         if (const auto order = ioHeld.keeper.nextOrder(inNow))
             sendOrder(inEngine, *order);
     }
--- a/tests/unit/orders_engine_keeper_test.cpp
+++ b/tests/unit/orders_engine_keeper_test.cpp
@@ -254,6 +254,21 @@
     CHECK(adapters.arriving.at("base/" + back->adapter).readyAt - engine.now <= 25ms);
 }
 
+TEST_CASE("many loads in a large fleet are not taken for an overload of the weight store")
+{
+    const auto loadTime = [](int inElsewhere, int inEngines) {
+        kept_engine engine;
+        engine.keeper.setFleet(inElsewhere, inEngines);
+        engine.load("a1");
+        return engine.keeper.adapters().arriving.at("base/a1").readyAt - engine.now;
+    };
+    CHECK(loadTime(0, 12) == 250ms);
+    CHECK(loadTime(15, 12) == 500ms);
+    CHECK(loadTime(25, 90) == 250ms);
+    // A long estimate must not feed on itself.
+    CHECK(loadTime(10'000, 90) == 750ms);
+}
+
 TEST_CASE("a new start of the engine forgets adapters and order numbers")
 {
     kept_engine engine;
