Read the endpoints once for each failure domain and pass the changes on

Change: the first live instance of a failure domain reads the endpoints and passes changes on; reads of the other topics wait longer (4 s and 2.2 s), and the age of a holder's last look may be 4 s. Operator's records that another instance passes on were not handed to the catalog; they are now.

--- a/corneltally/catalog/catalog_messages.h
+++ b/corneltally/catalog/catalog_messages.h
@@ -77,6 +77,24 @@
     store::record record;
 };
 
+/// Whether this instance passes the endpoints' records on to the others of its failure domain, so
+/// that these need not read them.
+struct endpoint_reader_changed
+{
+    bool reads = false;
+};
+
+/// Endpoints' records that this instance has read and passes on, or that another one passed on.
+/// Records that say nothing new are left out.
+struct endpoint_records_passed
+{
+    store::topic_update update;
+};
+struct endpoint_records_received
+{
+    store::topic_update update;
+};
+
 /// Records of the topic that the instances share.
 struct fleet_topic_updated
 {
--- a/corneltally/catalog/catalog_service.h
+++ b/corneltally/catalog/catalog_service.h
@@ -26,12 +26,12 @@
     std::string operatorTopic;
     std::string endpointTopic;
     std::string fleetTopic;
-    /// Time that a read of rarely changed topics waits at the store. A silent connection is noticed
-    /// after it.
-    core::duration longWait = std::chrono::milliseconds(1500);
+    /// Time that a read of the operator's records waits at the store. A silent connection is
+    /// noticed after it; until then other instances pass the records on.
+    core::duration longWait = std::chrono::milliseconds(4000);
     /// The same for the instances' own topic: holders of engines stop when their last look at the
-    /// claims is 2 s old.
-    core::duration fleetWait = std::chrono::milliseconds(700);
+    /// claims is 4 s old.
+    core::duration fleetWait = std::chrono::milliseconds(2200);
     /// Pause between reads of the endpoints, whose entries are renewed all the time. A leaving
     /// endpoint must get nothing new 2 s after its notice.
     core::duration endpointPause = std::chrono::milliseconds(500);
@@ -67,6 +67,14 @@
             cName, [this](const operator_record_received &inReceived) {
                 applyOperatorRecord(inReceived.record, "instance");
             });
+        mRegistry.handle<endpoint_reader_changed>(
+            cName,
+            [this](const endpoint_reader_changed &inChanged) { mPassesOn = inChanged.reads; });
+        mRegistry.handle<endpoint_records_received>(
+            cName, [this](const endpoint_records_received &inReceived) {
+                if (!mPassesOn && !mEndpoints.acceptRelayed(inReceived.update))
+                    mMetrics.count("relayed_records_refused_total");
+            });
         mRegistry.handle<operator_records_wanted>(
             cName, [this](const operator_records_wanted &inWanted) { passOn(inWanted); });
     }
@@ -158,7 +166,10 @@
         const bool mayReturn
             = inUpdate.afterOutage || core::boot_clock::now() - mStoreReturnedAt < cReturnWindow;
         std::vector<std::string> ids;
+        store::topic_update news{.from = inUpdate.from, .end = inUpdate.end};
         for (const store::record &record : inUpdate.records) {
+            if (isNews(record))
+                news.records.push_back(record);
             if (!record.value) {
                 mRaw.erase(record.key);
                 core::logEvent(core::log_level::info, "endpoint_removed",
@@ -169,14 +180,23 @@
             ids.push_back(record.key);
             applyEndpoint(record);
         }
-        if (!inUpdate.complete)
+        if (!inUpdate.complete) {
+            if (mPassesOn)
+                mRegistry.broadcast(endpoint_records_passed{std::move(news)});
             return;
+        }
         std::erase_if(mRaw, [&](const auto &inEntry) {
             return std::ranges::find(ids, inEntry.first) == ids.end();
         });
         mRegistry.broadcast(endpoints_listed{std::move(ids), mayReturn});
     }
 
+    bool isNews(const store::record &inRecord) const
+    {
+        const auto known = mRaw.find(inRecord.key);
+        return known == mRaw.end() ? inRecord.value.has_value() : inRecord.value != known->second;
+    }
+
     void applyEndpoint(const store::record &inRecord)
     {
         std::string &raw = mRaw[inRecord.key];
@@ -238,6 +258,7 @@
     std::set<std::string> mLeaving;
     core::time_point mStoreReturnedAt{-std::chrono::hours(1)};
     bool mAway = false;
+    bool mPassesOn = false;
 };
 
 } // namespace corneltally::catalog
--- a/corneltally/fleet/fleet_codec.cpp
+++ b/corneltally/fleet/fleet_codec.cpp
@@ -51,6 +51,25 @@
     return list;
 }
 
+wire::OperatorRecordT encodeRecord(const store::record &inRecord)
+{
+    wire::OperatorRecordT target;
+    target.key = inRecord.key;
+    target.offset = inRecord.offset;
+    target.removed = !inRecord.value.has_value();
+    if (inRecord.value)
+        target.value.assign(inRecord.value->begin(), inRecord.value->end());
+    return target;
+}
+
+store::record decodeRecord(const wire::OperatorRecordT &inBody)
+{
+    store::record record{.key = inBody.key, .offset = inBody.offset};
+    if (!inBody.removed)
+        record.value = std::string(inBody.value.begin(), inBody.value.end());
+    return record;
+}
+
 struct body_encoder
 {
     core::time_point now;
@@ -62,6 +81,7 @@
         target.instance = inHello.instance;
         target.machine = inHello.machine;
         target.address = inHello.address;
+        target.failure_domain = inHello.failureDomain;
         target.incarnation = inHello.incarnation;
         target.operator_end = inHello.operatorEnd;
         body.Set(std::move(target));
@@ -138,12 +158,16 @@
 
     void operator()(const operator_record &inRecord)
     {
-        wire::OperatorRecordT target;
-        target.key = inRecord.key;
-        target.offset = inRecord.offset;
-        target.removed = !inRecord.value.has_value();
-        if (inRecord.value)
-            target.value.assign(inRecord.value->begin(), inRecord.value->end());
+        body.Set(encodeRecord({inRecord.key, inRecord.value, inRecord.offset}));
+    }
+
+    void operator()(const endpoint_records &inRecords)
+    {
+        wire::EndpointRecordsT target;
+        for (const store::record &record : inRecords.records)
+            target.records.push_back(std::make_unique<wire::OperatorRecordT>(encodeRecord(record)));
+        target.from = inRecords.from;
+        target.end = inRecords.end;
         body.Set(std::move(target));
     }
 };
@@ -200,8 +224,8 @@
     wire::EnvelopeT envelope;
     wire::GetEnvelope(bytes)->UnPackTo(&envelope);
     if (const auto *body = envelope.body.AsHello())
-        return hello{body->instance, body->machine, body->address, body->incarnation,
-                     body->operator_end};
+        return hello{body->instance,       body->machine,     body->address,
+                     body->failure_domain, body->incarnation, body->operator_end};
     if (const auto *body = envelope.body.AsHeartbeat())
         return decodeHeartbeat(*body);
     if (const auto *body = envelope.body.AsLoadWanted())
@@ -214,10 +238,14 @@
     if (const auto *body = envelope.body.AsEngineState())
         return decodeState(*body, inNow);
     if (const auto *body = envelope.body.AsOperatorRecord()) {
-        operator_record record{.key = body->key, .offset = body->offset};
-        if (!body->removed)
-            record.value = std::string(body->value.begin(), body->value.end());
-        return record;
+        store::record record = decodeRecord(*body);
+        return operator_record{std::move(record.key), record.offset, std::move(record.value)};
+    }
+    if (const auto *body = envelope.body.AsEndpointRecords()) {
+        endpoint_records records{.from = body->from, .end = body->end};
+        for (const auto &entry : body->records)
+            records.records.push_back(decodeRecord(*entry));
+        return records;
     }
     return std::nullopt;
 }
--- a/corneltally/fleet/fleet_messages.h
+++ b/corneltally/fleet/fleet_messages.h
@@ -2,6 +2,7 @@
 
 #include "corneltally/engines/endpoint_book.h"
 #include "corneltally/limits/fleet_allowance.h"
+#include "corneltally/store/record.h"
 
 #include <compare>
 #include <cstdint>
@@ -20,6 +21,7 @@
     std::string instance;
     std::string machine;
     std::string address;
+    std::string failureDomain;
     std::uint64_t incarnation = 0;
     /// Offset behind the newest operator's record that the sender has.
     std::uint64_t operatorEnd = 0;
@@ -111,7 +113,17 @@
     friend bool operator==(const operator_record &, const operator_record &) = default;
 };
 
+/// Endpoints' records for the other instances of a failure domain.
+struct endpoint_records
+{
+    std::vector<store::record> records;
+    std::uint64_t from = 0;
+    std::uint64_t end = 0;
+
+    friend bool operator==(const endpoint_records &, const endpoint_records &) = default;
+};
+
 using message = std::variant<hello, heartbeat, load_wanted, adapter_missing, engine_state,
-                             operator_record, adapter_running>;
+                             operator_record, adapter_running, endpoint_records>;
 
 } // namespace corneltally::fleet
--- a/corneltally/fleet/fleet_records.cpp
+++ b/corneltally/fleet/fleet_records.cpp
@@ -36,6 +36,7 @@
 {
     const json value{{"machine", inMember.machine},
                      {"address", inMember.address},
+                     {"failure_domain", inMember.failureDomain},
                      {"incarnation", inMember.incarnation}};
     return {.key = keyOf(cMemberPrefix, inMember.instance), .value = value.dump()};
 }
@@ -74,9 +75,9 @@
     const json value = parseValue(inRecord);
     if (!name || !value.is_object())
         return std::nullopt;
-    return member{*name, value.value("machine", std::string()),
-                  value.value("address", std::string()),
-                  value.value("incarnation", std::uint64_t{0})};
+    return member{
+        *name, value.value("machine", std::string()), value.value("address", std::string()),
+        value.value("failure_domain", std::string()), value.value("incarnation", std::uint64_t{0})};
 }
 
 std::optional<orders::claim> decodeClaim(const store::record &inRecord)
--- a/corneltally/fleet/fleet_records.h
+++ b/corneltally/fleet/fleet_records.h
@@ -20,6 +20,7 @@
     std::string machine;
     /// Where other instances reach it.
     std::string address;
+    std::string failureDomain;
     std::uint64_t incarnation = 0;
 
     friend auto operator<=>(const member &, const member &) = default;
--- a/corneltally/fleet/mesh_service.cpp
+++ b/corneltally/fleet/mesh_service.cpp
@@ -57,6 +57,9 @@
                   operator_record{inPassed.record.key, inPassed.record.offset,
                                   inPassed.record.value}});
         });
+    mRegistry.handle<catalog::endpoint_records_passed>(
+        cName,
+        [this](const catalog::endpoint_records_passed &inPassed) { passRecords(inPassed.update); });
     mRegistry.handle<mesh_send>(cName, [this](const mesh_send &inSend) { send(inSend); });
     mRegistry.handle<heartbeat_part>(
         cName, [this](const heartbeat_part &inPart) { sendHeartbeats(inPart); });
@@ -204,6 +207,16 @@
         return;
     if (const auto *beat = std::get_if<heartbeat>(&*decoded))
         heartbeatReceived(link.instance, *beat);
+    if (const auto *passed = std::get_if<endpoint_records>(&*decoded)) {
+        mRegistry.broadcast(catalog::endpoint_records_received{
+            {.records = passed->records, .from = passed->from, .end = passed->end}});
+        return;
+    }
+    if (const auto *passed = std::get_if<operator_record>(&*decoded)) {
+        mRegistry.broadcast(
+            catalog::operator_record_received{{passed->key, passed->value, passed->offset}});
+        return;
+    }
     mRegistry.broadcast(mesh_received{link.instance, link.incarnation, *decoded});
 }
 
@@ -213,7 +226,9 @@
     ioLink.incarnation = inHello.incarnation;
     if (inHello.instance == mOptions.self.instance)
         return;
-    noteMember({inHello.instance, inHello.machine, inHello.address, inHello.incarnation}, false);
+    noteMember({inHello.instance, inHello.machine, inHello.address, inHello.failureDomain,
+                inHello.incarnation},
+               false);
     publishInstances();
 }
 
@@ -248,8 +263,9 @@
     ioLink.connection->setEvents(
         {.onFrame = {}, .onClosed = [this, inName](std::string_view) { linkClosed(inName); }});
     const member &self = mOptions.self;
-    ioLink.connection->send(encode(
-        hello{self.instance, self.machine, self.address, self.incarnation, mOperatorEnd}, now));
+    ioLink.connection->send(encode(hello{self.instance, self.machine, self.address,
+                                         self.failureDomain, self.incarnation, mOperatorEnd},
+                                   now));
 }
 
 void mesh_service::linkClosed(const std::string &inName)
@@ -330,8 +346,35 @@
     }
 }
 
+/// Passes endpoints' records on to the other instances of the own failure domain.
+void mesh_service::passRecords(const store::topic_update &inUpdate)
+{
+    const std::string bytes = encode(
+        endpoint_records{inUpdate.records, inUpdate.from, inUpdate.end}, core::boot_clock::now());
+    for (auto &[name, known] : mInstances) {
+        if (known.live && known.link.connection
+            && known.description.failureDomain == mOptions.self.failureDomain)
+            known.link.connection->send(bytes);
+    }
+}
+
+/// The first live instance of a failure domain by name reads for the others.
+void mesh_service::chooseReader()
+{
+    const bool reads = std::ranges::none_of(mInstances, [this](const auto &inEntry) {
+        return inEntry.second.live && inEntry.first < mOptions.self.instance
+            && inEntry.second.description.failureDomain == mOptions.self.failureDomain;
+    });
+    if (mReads == reads)
+        return;
+    mReads = reads;
+    core::logEvent(core::log_level::info, "endpoint_reader", {{"reads", reads}});
+    mRegistry.broadcast(catalog::endpoint_reader_changed{reads});
+}
+
 void mesh_service::publishInstances()
 {
+    chooseReader();
     instances_changed current;
     for (const auto &[name, known] : mInstances) {
         current.members.push_back(name);
--- a/corneltally/fleet/mesh_service.h
+++ b/corneltally/fleet/mesh_service.h
@@ -97,6 +97,8 @@
     void tick();
     void sendHeartbeats(const heartbeat_part &inPart);
     void send(const mesh_send &inSend);
+    void passRecords(const store::topic_update &inUpdate);
+    void chooseReader();
     void publishInstances();
 
     kernel::service_registry &mRegistry;
@@ -114,6 +116,7 @@
     bool mSelfRecorded = false;
     bool mRecordUnderWay = false;
     bool mDraining = false;
+    std::optional<bool> mReads;
     std::optional<instances_changed> mPublished;
 };
 
--- a/corneltally/forwarding/instance.cpp
+++ b/corneltally/forwarding/instance.cpp
@@ -150,6 +150,7 @@
                          .machine = mSettings.machine,
                          .address
                          = addressOf(mSettings.peers).port == 0 ? std::string() : mSettings.peers,
+                         .failureDomain = mSettings.failureDomain,
                          .incarnation = mIncarnation},
                 .listen = addressOf(mSettings.peers),
                 .seeds = splitList(mSettings.seeds)};
--- a/corneltally/orders/holder_claims.h
+++ b/corneltally/orders/holder_claims.h
@@ -17,7 +17,7 @@
 struct claim_settings
 {
     /// A holder orders only while its last look at the claims is younger than this, ...
-    core::duration lookAge = std::chrono::milliseconds(2000);
+    core::duration lookAge = std::chrono::milliseconds(4000);
     /// ... or younger than this while all instances that it knows of say that they hear it: nobody
     /// claims engines of an instance that it hears. An instance that the holder does not know of
     /// yet can't order before its own silence and its wait for the holder are over.
@@ -29,7 +29,7 @@
     /// Added to the changePause for delays of orders on their way.
     core::duration margin = std::chrono::milliseconds(400);
     /// An instance that was not heard for this long loses its engines.
-    core::duration silence = std::chrono::milliseconds(2500);
+    core::duration silence = std::chrono::milliseconds(2000);
 };
 
 /// Who holds an engine.
--- a/corneltally/store/topic_follower.h
+++ b/corneltally/store/topic_follower.h
@@ -10,6 +10,7 @@
 #include <algorithm>
 #include <cstdint>
 #include <functional>
+#include <iterator>
 #include <string>
 #include <utility>
 #include <vector>
@@ -26,6 +27,8 @@
     /// Pause after a failed read, doubled with each further failure.
     core::duration firstRetry = std::chrono::milliseconds(100);
     core::duration lastRetry = std::chrono::milliseconds(800);
+    /// Own reads begin this long after the last records that another instance passed on.
+    core::duration relayPatience = std::chrono::milliseconds(1300);
 };
 
 /// Records of a topic as they arrive.
@@ -38,7 +41,8 @@
     core::time_point asOf;
     /// Whether the store had not answered for some time before.
     bool afterOutage = false;
-    /// Offset behind the last record.
+    /// Offset from which the records were read, and the one behind the last of them.
+    std::uint64_t from = 0;
     std::uint64_t end = 0;
 };
 
@@ -78,6 +82,26 @@
             schedule(core::duration::zero());
     }
 
+    /// Takes records that another instance has read, and puts the own reads off. Returns false if
+    /// records between these and the own ones are missing; the next own read brings them.
+    bool acceptRelayed(const topic_update &inUpdate)
+    {
+        if (!mLoaded || inUpdate.from > mOffset || inUpdate.end < mOffset)
+            return false;
+        std::vector<record> fresh;
+        std::ranges::copy_if(inUpdate.records, std::back_inserter(fresh),
+                             [this](const record &inRecord) { return inRecord.offset >= mOffset; });
+        const std::uint64_t from = mOffset;
+        mOffset = inUpdate.end;
+        // A read that is under way answers later and brings nothing new.
+        const bool reads = !mTimer.isPending();
+        deliver(std::move(fresh), false, core::boot_clock::now(), from);
+        mTimer.cancel();
+        if (!reads)
+            schedule(mSettings.relayPatience);
+        return true;
+    }
+
 private:
     void next()
     {
@@ -125,7 +149,8 @@
         }
         mAfterKey.clear();
         mLoaded = true;
-        deliver(std::exchange(mPages, {}), true, mFillStartedAt);
+        deliver(std::exchange(mPages, {}), true, mFillStartedAt, 0);
+        schedule(mSettings.pause);
     }
 
     void recordsRead(const read_result &inResult)
@@ -139,19 +164,24 @@
             failed();
             return;
         }
-        if (!inResult.records.empty())
-            mOffset = inResult.records.back().offset + 1;
-        deliver(inResult.records, false, mStartedAt);
+        const std::uint64_t from = mOffset;
+        std::vector<record> fresh;
+        std::ranges::copy_if(inResult.records, std::back_inserter(fresh),
+                             [this](const record &inRecord) { return inRecord.offset >= mOffset; });
+        if (!fresh.empty())
+            mOffset = fresh.back().offset + 1;
+        deliver(std::move(fresh), false, mStartedAt, from);
+        schedule(mSettings.pause);
     }
 
-    void deliver(std::vector<record> inRecords, bool inComplete, core::time_point inAsOf)
+    void deliver(std::vector<record> inRecords, bool inComplete, core::time_point inAsOf,
+                 std::uint64_t inFrom)
     {
         const bool afterOutage
             = mConfirmedAt != core::time_point() && inAsOf - mConfirmedAt > sOutageTime;
         mConfirmedAt = inAsOf;
         mRetry = mSettings.firstRetry;
-        mHandler({std::move(inRecords), inComplete, inAsOf, afterOutage, mOffset});
-        schedule(mSettings.pause);
+        mHandler({std::move(inRecords), inComplete, inAsOf, afterOutage, inFrom, mOffset});
     }
 
     Client &mClient;
--- a/schemas/fleet_generated.h
+++ b/schemas/fleet_generated.h
@@ -60,6 +60,10 @@
 struct OperatorRecordBuilder;
 struct OperatorRecordT;
 
+struct EndpointRecords;
+struct EndpointRecordsBuilder;
+struct EndpointRecordsT;
+
 struct Envelope;
 struct EnvelopeBuilder;
 struct EnvelopeT;
@@ -73,11 +77,12 @@
   EngineState = 5,
   OperatorRecord = 6,
   AdapterRunning = 7,
+  EndpointRecords = 8,
   MIN = NONE,
-  MAX = AdapterRunning
+  MAX = EndpointRecords
 };
 
-inline const Body (&EnumValuesBody())[8] {
+inline const Body (&EnumValuesBody())[9] {
   static const Body values[] = {
     Body::NONE,
     Body::Hello,
@@ -86,13 +91,14 @@
     Body::AdapterMissing,
     Body::EngineState,
     Body::OperatorRecord,
-    Body::AdapterRunning
+    Body::AdapterRunning,
+    Body::EndpointRecords
   };
   return values;
 }
 
 inline const char * const *EnumNamesBody() {
-  static const char * const names[9] = {
+  static const char * const names[10] = {
     "NONE",
     "Hello",
     "Heartbeat",
@@ -101,13 +107,14 @@
     "EngineState",
     "OperatorRecord",
     "AdapterRunning",
+    "EndpointRecords",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameBody(Body e) {
-  if (flatbuffers::IsOutRange(e, Body::NONE, Body::AdapterRunning)) return "";
+  if (flatbuffers::IsOutRange(e, Body::NONE, Body::EndpointRecords)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesBody()[index];
 }
@@ -144,6 +151,10 @@
   static const Body enum_value = Body::AdapterRunning;
 };
 
+template<> struct BodyTraits<corneltally::fleet_wire::EndpointRecords> {
+  static const Body enum_value = Body::EndpointRecords;
+};
+
 template<typename T> struct BodyUnionTraits {
   static const Body enum_value = Body::NONE;
 };
@@ -176,6 +187,10 @@
   static const Body enum_value = Body::AdapterRunning;
 };
 
+template<> struct BodyUnionTraits<corneltally::fleet_wire::EndpointRecordsT> {
+  static const Body enum_value = Body::EndpointRecords;
+};
+
 struct BodyUnion {
   Body type;
   void *value;
@@ -262,6 +277,14 @@
     return type == Body::AdapterRunning ?
       reinterpret_cast<const corneltally::fleet_wire::AdapterRunningT *>(value) : nullptr;
   }
+  corneltally::fleet_wire::EndpointRecordsT *AsEndpointRecords() {
+    return type == Body::EndpointRecords ?
+      reinterpret_cast<corneltally::fleet_wire::EndpointRecordsT *>(value) : nullptr;
+  }
+  const corneltally::fleet_wire::EndpointRecordsT *AsEndpointRecords() const {
+    return type == Body::EndpointRecords ?
+      reinterpret_cast<const corneltally::fleet_wire::EndpointRecordsT *>(value) : nullptr;
+  }
 };
 
 bool VerifyBody(flatbuffers::Verifier &verifier, const void *obj, Body type);
@@ -272,6 +295,7 @@
   std::string instance{};
   std::string machine{};
   std::string address{};
+  std::string failure_domain{};
   uint64_t incarnation = 0;
   uint64_t operator_end = 0;
 };
@@ -284,8 +308,9 @@
     VT_INSTANCE = 4,
     VT_MACHINE = 6,
     VT_ADDRESS = 8,
-    VT_INCARNATION = 10,
-    VT_OPERATOR_END = 12
+    VT_FAILURE_DOMAIN = 10,
+    VT_INCARNATION = 12,
+    VT_OPERATOR_END = 14
   };
   const flatbuffers::String *instance() const {
     return GetPointer<const flatbuffers::String *>(VT_INSTANCE);
@@ -296,6 +321,9 @@
   const flatbuffers::String *address() const {
     return GetPointer<const flatbuffers::String *>(VT_ADDRESS);
   }
+  const flatbuffers::String *failure_domain() const {
+    return GetPointer<const flatbuffers::String *>(VT_FAILURE_DOMAIN);
+  }
   uint64_t incarnation() const {
     return GetField<uint64_t>(VT_INCARNATION, 0);
   }
@@ -310,6 +338,8 @@
            verifier.VerifyString(machine()) &&
            VerifyOffsetRequired(verifier, VT_ADDRESS) &&
            verifier.VerifyString(address()) &&
+           VerifyOffsetRequired(verifier, VT_FAILURE_DOMAIN) &&
+           verifier.VerifyString(failure_domain()) &&
            VerifyField<uint64_t>(verifier, VT_INCARNATION, 8) &&
            VerifyField<uint64_t>(verifier, VT_OPERATOR_END, 8) &&
            verifier.EndTable();
@@ -332,6 +362,9 @@
   void add_address(flatbuffers::Offset<flatbuffers::String> address) {
     fbb_.AddOffset(Hello::VT_ADDRESS, address);
   }
+  void add_failure_domain(flatbuffers::Offset<flatbuffers::String> failure_domain) {
+    fbb_.AddOffset(Hello::VT_FAILURE_DOMAIN, failure_domain);
+  }
   void add_incarnation(uint64_t incarnation) {
     fbb_.AddElement<uint64_t>(Hello::VT_INCARNATION, incarnation, 0);
   }
@@ -348,6 +381,7 @@
     fbb_.Required(o, Hello::VT_INSTANCE);
     fbb_.Required(o, Hello::VT_MACHINE);
     fbb_.Required(o, Hello::VT_ADDRESS);
+    fbb_.Required(o, Hello::VT_FAILURE_DOMAIN);
     return o;
   }
 };
@@ -357,11 +391,13 @@
     flatbuffers::Offset<flatbuffers::String> instance = 0,
     flatbuffers::Offset<flatbuffers::String> machine = 0,
     flatbuffers::Offset<flatbuffers::String> address = 0,
+    flatbuffers::Offset<flatbuffers::String> failure_domain = 0,
     uint64_t incarnation = 0,
     uint64_t operator_end = 0) {
   HelloBuilder builder_(_fbb);
   builder_.add_operator_end(operator_end);
   builder_.add_incarnation(incarnation);
+  builder_.add_failure_domain(failure_domain);
   builder_.add_address(address);
   builder_.add_machine(machine);
   builder_.add_instance(instance);
@@ -378,16 +414,19 @@
     const char *instance = nullptr,
     const char *machine = nullptr,
     const char *address = nullptr,
+    const char *failure_domain = nullptr,
     uint64_t incarnation = 0,
     uint64_t operator_end = 0) {
   auto instance__ = instance ? _fbb.CreateString(instance) : 0;
   auto machine__ = machine ? _fbb.CreateString(machine) : 0;
   auto address__ = address ? _fbb.CreateString(address) : 0;
+  auto failure_domain__ = failure_domain ? _fbb.CreateString(failure_domain) : 0;
   return corneltally::fleet_wire::CreateHello(
       _fbb,
       instance__,
       machine__,
       address__,
+      failure_domain__,
       incarnation,
       operator_end);
 }
@@ -1546,6 +1585,105 @@
 
 flatbuffers::Offset<OperatorRecord> CreateOperatorRecord(flatbuffers::FlatBufferBuilder &_fbb, const OperatorRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct EndpointRecordsT : public flatbuffers::NativeTable {
+  typedef EndpointRecords TableType;
+  std::vector<std::unique_ptr<corneltally::fleet_wire::OperatorRecordT>> records{};
+  uint64_t from = 0;
+  uint64_t end = 0;
+  EndpointRecordsT() = default;
+  EndpointRecordsT(const EndpointRecordsT &o);
+  EndpointRecordsT(EndpointRecordsT&&) FLATBUFFERS_NOEXCEPT = default;
+  EndpointRecordsT &operator=(EndpointRecordsT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct EndpointRecords FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef EndpointRecordsT NativeTableType;
+  typedef EndpointRecordsBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_RECORDS = 4,
+    VT_FROM = 6,
+    VT_END = 8
+  };
+  const flatbuffers::Vector<flatbuffers::Offset<corneltally::fleet_wire::OperatorRecord>> *records() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<corneltally::fleet_wire::OperatorRecord>> *>(VT_RECORDS);
+  }
+  uint64_t from() const {
+    return GetField<uint64_t>(VT_FROM, 0);
+  }
+  uint64_t end() const {
+    return GetField<uint64_t>(VT_END, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_RECORDS) &&
+           verifier.VerifyVector(records()) &&
+           verifier.VerifyVectorOfTables(records()) &&
+           VerifyField<uint64_t>(verifier, VT_FROM, 8) &&
+           VerifyField<uint64_t>(verifier, VT_END, 8) &&
+           verifier.EndTable();
+  }
+  EndpointRecordsT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(EndpointRecordsT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<EndpointRecords> Pack(flatbuffers::FlatBufferBuilder &_fbb, const EndpointRecordsT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct EndpointRecordsBuilder {
+  typedef EndpointRecords Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_records(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<corneltally::fleet_wire::OperatorRecord>>> records) {
+    fbb_.AddOffset(EndpointRecords::VT_RECORDS, records);
+  }
+  void add_from(uint64_t from) {
+    fbb_.AddElement<uint64_t>(EndpointRecords::VT_FROM, from, 0);
+  }
+  void add_end(uint64_t end) {
+    fbb_.AddElement<uint64_t>(EndpointRecords::VT_END, end, 0);
+  }
+  explicit EndpointRecordsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<EndpointRecords> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<EndpointRecords>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<EndpointRecords> CreateEndpointRecords(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<corneltally::fleet_wire::OperatorRecord>>> records = 0,
+    uint64_t from = 0,
+    uint64_t end = 0) {
+  EndpointRecordsBuilder builder_(_fbb);
+  builder_.add_end(end);
+  builder_.add_from(from);
+  builder_.add_records(records);
+  return builder_.Finish();
+}
+
+struct EndpointRecords::Traits {
+  using type = EndpointRecords;
+  static auto constexpr Create = CreateEndpointRecords;
+};
+
+inline flatbuffers::Offset<EndpointRecords> CreateEndpointRecordsDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const std::vector<flatbuffers::Offset<corneltally::fleet_wire::OperatorRecord>> *records = nullptr,
+    uint64_t from = 0,
+    uint64_t end = 0) {
+  auto records__ = records ? _fbb.CreateVector<flatbuffers::Offset<corneltally::fleet_wire::OperatorRecord>>(*records) : 0;
+  return corneltally::fleet_wire::CreateEndpointRecords(
+      _fbb,
+      records__,
+      from,
+      end);
+}
+
+flatbuffers::Offset<EndpointRecords> CreateEndpointRecords(flatbuffers::FlatBufferBuilder &_fbb, const EndpointRecordsT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct EnvelopeT : public flatbuffers::NativeTable {
   typedef Envelope TableType;
   corneltally::fleet_wire::BodyUnion body{};
@@ -1587,6 +1725,9 @@
   const corneltally::fleet_wire::AdapterRunning *body_as_AdapterRunning() const {
     return body_type() == corneltally::fleet_wire::Body::AdapterRunning ? static_cast<const corneltally::fleet_wire::AdapterRunning *>(body()) : nullptr;
   }
+  const corneltally::fleet_wire::EndpointRecords *body_as_EndpointRecords() const {
+    return body_type() == corneltally::fleet_wire::Body::EndpointRecords ? static_cast<const corneltally::fleet_wire::EndpointRecords *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_BODY_TYPE, 1) &&
@@ -1627,6 +1768,10 @@
   return body_as_AdapterRunning();
 }
 
+template<> inline const corneltally::fleet_wire::EndpointRecords *Envelope::body_as<corneltally::fleet_wire::EndpointRecords>() const {
+  return body_as_EndpointRecords();
+}
+
 struct EnvelopeBuilder {
   typedef Envelope Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -1678,6 +1823,7 @@
   { auto _e = instance(); if (_e) _o->instance = _e->str(); }
   { auto _e = machine(); if (_e) _o->machine = _e->str(); }
   { auto _e = address(); if (_e) _o->address = _e->str(); }
+  { auto _e = failure_domain(); if (_e) _o->failure_domain = _e->str(); }
   { auto _e = incarnation(); _o->incarnation = _e; }
   { auto _e = operator_end(); _o->operator_end = _e; }
 }
@@ -1693,6 +1839,7 @@
   auto _instance = _fbb.CreateString(_o->instance);
   auto _machine = _fbb.CreateString(_o->machine);
   auto _address = _fbb.CreateString(_o->address);
+  auto _failure_domain = _fbb.CreateString(_o->failure_domain);
   auto _incarnation = _o->incarnation;
   auto _operator_end = _o->operator_end;
   return corneltally::fleet_wire::CreateHello(
@@ -1700,6 +1847,7 @@
       _instance,
       _machine,
       _address,
+      _failure_domain,
       _incarnation,
       _operator_end);
 }
@@ -2108,6 +2256,52 @@
       _value);
 }
 
+inline EndpointRecordsT::EndpointRecordsT(const EndpointRecordsT &o)
+      : from(o.from),
+        end(o.end) {
+  records.reserve(o.records.size());
+  for (const auto &records_ : o.records) { records.emplace_back((records_) ? new corneltally::fleet_wire::OperatorRecordT(*records_) : nullptr); }
+}
+
+inline EndpointRecordsT &EndpointRecordsT::operator=(EndpointRecordsT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(records, o.records);
+  std::swap(from, o.from);
+  std::swap(end, o.end);
+  return *this;
+}
+
+inline EndpointRecordsT *EndpointRecords::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<EndpointRecordsT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void EndpointRecords::UnPackTo(EndpointRecordsT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = records(); if (_e) { _o->records.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->records[_i] = std::unique_ptr<corneltally::fleet_wire::OperatorRecordT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = from(); _o->from = _e; }
+  { auto _e = end(); _o->end = _e; }
+}
+
+inline flatbuffers::Offset<EndpointRecords> EndpointRecords::Pack(flatbuffers::FlatBufferBuilder &_fbb, const EndpointRecordsT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateEndpointRecords(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<EndpointRecords> CreateEndpointRecords(flatbuffers::FlatBufferBuilder &_fbb, const EndpointRecordsT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const EndpointRecordsT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _records = _o->records.size() ? _fbb.CreateVector<flatbuffers::Offset<corneltally::fleet_wire::OperatorRecord>> (_o->records.size(), [](size_t i, _VectorArgs *__va) { return CreateOperatorRecord(*__va->__fbb, __va->__o->records[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _from = _o->from;
+  auto _end = _o->end;
+  return corneltally::fleet_wire::CreateEndpointRecords(
+      _fbb,
+      _records,
+      _from,
+      _end);
+}
+
 inline EnvelopeT *Envelope::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<EnvelopeT>();
   UnPackTo(_o.get(), _resolver);
@@ -2170,6 +2364,10 @@
       auto ptr = reinterpret_cast<const corneltally::fleet_wire::AdapterRunning *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Body::EndpointRecords: {
+      auto ptr = reinterpret_cast<const corneltally::fleet_wire::EndpointRecords *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -2217,6 +2415,10 @@
       auto ptr = reinterpret_cast<const corneltally::fleet_wire::AdapterRunning *>(obj);
       return ptr->UnPack(resolver);
     }
+    case Body::EndpointRecords: {
+      auto ptr = reinterpret_cast<const corneltally::fleet_wire::EndpointRecords *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -2252,6 +2454,10 @@
       auto ptr = reinterpret_cast<const corneltally::fleet_wire::AdapterRunningT *>(value);
       return CreateAdapterRunning(_fbb, ptr, _rehasher).Union();
     }
+    case Body::EndpointRecords: {
+      auto ptr = reinterpret_cast<const corneltally::fleet_wire::EndpointRecordsT *>(value);
+      return CreateEndpointRecords(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -2286,6 +2492,10 @@
       value = new corneltally::fleet_wire::AdapterRunningT(*reinterpret_cast<corneltally::fleet_wire::AdapterRunningT *>(u.value));
       break;
     }
+    case Body::EndpointRecords: {
+      value = new corneltally::fleet_wire::EndpointRecordsT(*reinterpret_cast<corneltally::fleet_wire::EndpointRecordsT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -2328,6 +2538,11 @@
       delete ptr;
       break;
     }
+    case Body::EndpointRecords: {
+      auto ptr = reinterpret_cast<corneltally::fleet_wire::EndpointRecordsT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
--- a/tests/unit/catalog_service_test.cpp
+++ b/tests/unit/catalog_service_test.cpp
@@ -225,6 +225,29 @@
     CHECK(fixture.events.back() == "lapsed e2");
 }
 
+TEST_CASE("records that another instance passes on take the place of own reads")
+{
+    catalog_fixture fixture;
+    fixture.store->put(platform::cEndpointTopic, "e1", entry());
+    fixture.registry.startAll();
+    fixture.run(100ms);
+    const std::uint64_t end = fixture.store->topics[platform::cEndpointTopic].end;
+    // The store does not serve this instance any more.
+    fixture.store->away = true;
+    fixture.registry.post("catalog",
+                          catalog::endpoint_records_received{
+                              {.records = {{"e2", entry(), end}}, .from = end, .end = end + 1}});
+    fixture.run(100ms);
+    CHECK(fixture.events.back() == "ready e2");
+    // Records between the own ones and these are missing.
+    fixture.registry.post(
+        "catalog",
+        catalog::endpoint_records_received{
+            {.records = {{"e3", entry(), end + 9}}, .from = end + 9, .end = end + 10}});
+    fixture.run(100ms);
+    CHECK(fixture.events.back() == "ready e2");
+}
+
 TEST_CASE("an entry that can't be read removes its endpoint and leaves the others")
 {
     catalog_fixture fixture;
