Let engines be held in their own failure domain, and wait longer before taking one over

Cause: a holder that is cut off for 5 s lost its engines after 2 s of silence, and then nobody could order for 9 s; holders in other failure domains can't reach the engines of one that is cut off. Change: instances of the engine's failure domain go first; an instance loses its engines after 7 s; free engines are claimed after 0.6 s, when the instances know each other.

--- a/corneltally/fleet/mesh_messages.h
+++ b/corneltally/fleet/mesh_messages.h
@@ -3,6 +3,7 @@
 #include "corneltally/fleet/fleet_messages.h"
 
 #include <cstdint>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -28,7 +29,10 @@
 struct instances_changed
 {
     std::vector<std::string> members;
-    std::vector<std::string> live;
+    /// Failure domains of the live ones, by name.
+    std::map<std::string, std::string> live;
+
+    friend bool operator==(const instances_changed &, const instances_changed &) = default;
 };
 
 /// Asks a service for its part of the next heartbeat; it answers with a heartbeat_part.
--- a/corneltally/fleet/mesh_service.cpp
+++ b/corneltally/fleet/mesh_service.cpp
@@ -379,9 +379,9 @@
     for (const auto &[name, known] : mInstances) {
         current.members.push_back(name);
         if (known.live)
-            current.live.push_back(name);
+            current.live.emplace(name, known.description.failureDomain);
     }
-    if (mPublished && mPublished->members == current.members && mPublished->live == current.live)
+    if (mPublished == current)
         return;
     mPublished = current;
     mMetrics.setGauge("peers_live", static_cast<double>(current.live.size()));
--- a/corneltally/forwarding/instance.cpp
+++ b/corneltally/forwarding/instance.cpp
@@ -160,7 +160,8 @@
     {
         orders::order_options options{.self = {.instance = mSettings.instanceName,
                                                .machine = mSettings.machine,
-                                               .incarnation = mIncarnation}};
+                                               .incarnation = mIncarnation},
+                                      .failureDomain = mSettings.failureDomain};
         options.claims.changePause = milliseconds(mSettings.holderPauseMs);
         options.keeper.adapterLoad = milliseconds(mSettings.adapterLoadMs);
         return options;
--- a/corneltally/orders/holder_claims.cpp
+++ b/corneltally/orders/holder_claims.cpp
@@ -90,42 +90,52 @@
     return found == mHeard.end() ? mFirstConfirmed.value_or(core::time_point()) : found->second;
 }
 
-std::vector<std::string> holder_claims::wanted(const std::vector<std::string> &inEngines,
-                                               const std::set<std::string> &inLiveInstances,
+/// Whether no live instance suits an engine better: those of its own failure domain go first, since
+/// they reach it while the domain is cut off.
+bool holder_claims::isPreferred(const located &inEngine,
+                                const std::vector<located> &inLiveInstances) const
+{
+    const auto rank = [&](const std::string &inInstance, const std::string &inDomain) {
+        return std::pair(inDomain == inEngine.failureDomain,
+                         core::rendezvousWeight(inEngine.name, inInstance));
+    };
+    const auto own = rank(mSelf.instance, mFailureDomain);
+    return std::ranges::none_of(inLiveInstances, [&](const located &inOther) {
+        return inOther.name != mSelf.instance && rank(inOther.name, inOther.failureDomain) > own;
+    });
+}
+
+std::vector<std::string> holder_claims::wanted(const std::vector<located> &inEngines,
+                                               const std::vector<located> &inLiveInstances,
                                                core::time_point inNow) const
 {
     std::vector<std::string> claims;
     if (!mFirstConfirmed || inNow - mConfirmedAt >= mSettings.lookAge)
         return claims;
-    for (const std::string &engine : inEngines) {
-        if (holds(engine))
+    for (const located &engine : inEngines) {
+        const claim *holder = find(engine.name);
+        if (holds(engine.name))
             continue;
-        const claim *holder = find(engine);
-        if (holder != nullptr && holder->machine != mSelf.machine
-            && inNow - lastHeard(holder->instance) < mSettings.silence)
+        // The machine's own engines come back to it at once.
+        if (holder != nullptr && holder->machine == mSelf.machine) {
+            claims.push_back(engine.name);
             continue;
-        // The machine's own engines come back to it at once; free ones go to the instance with the
-        // greatest weight, and the others step in only if that one is not live.
-        if (holder == nullptr || holder->machine != mSelf.machine) {
-            const bool isPreferred
-                = std::ranges::none_of(inLiveInstances, [&](const std::string &inOther) {
-                      return inOther != mSelf.instance
-                          && core::rendezvousWeight(engine, inOther)
-                          > core::rendezvousWeight(engine, mSelf.instance);
-                  });
-            if (!isPreferred)
-                continue;
         }
-        claims.push_back(engine);
+        const bool isFree = holder == nullptr
+            ? inNow - *mFirstConfirmed >= mSettings.firstClaim
+            : inNow - lastHeard(holder->instance) >= mSettings.silence;
+        if (isFree && isPreferred(engine, inLiveInstances))
+            claims.push_back(engine.name);
     }
     return claims;
 }
 
-std::vector<std::string> holder_claims::obsolete(const std::vector<std::string> &inEngines) const
+std::vector<std::string> holder_claims::obsolete(const std::vector<located> &inEngines) const
 {
     std::vector<std::string> names;
     for (const auto &[engine, held] : mEngines) {
-        if (holds(engine) && std::ranges::find(inEngines, engine) == inEngines.end())
+        if (holds(engine)
+            && std::ranges::find(inEngines, engine, &located::name) == inEngines.end())
             names.push_back(engine);
     }
     return names;
--- a/corneltally/orders/holder_claims.h
+++ b/corneltally/orders/holder_claims.h
@@ -21,15 +21,18 @@
     /// ... or younger than this while all instances that it knows of say that they hear it: nobody
     /// claims engines of an instance that it hears. An instance that the holder does not know of
     /// yet can't order before its own silence and its wait for the holder are over.
-    core::duration promisedLookAge = std::chrono::milliseconds(7000);
+    core::duration promisedLookAge = std::chrono::milliseconds(11000);
     /// Longest age of such a word.
     core::duration promiseAge = std::chrono::milliseconds(1200);
     /// Time between the orders of two holders of one engine that the operator asks for.
     core::duration changePause = std::chrono::milliseconds(3000);
     /// Added to the changePause for delays of orders on their way.
     core::duration margin = std::chrono::milliseconds(400);
-    /// An instance that was not heard for this long loses its engines.
-    core::duration silence = std::chrono::milliseconds(2000);
+    /// An instance that was not heard for this long loses its engines. Most cuts and restarts are
+    /// shorter, and a holder that comes back goes on at once, a successor has to wait.
+    core::duration silence = std::chrono::milliseconds(7000);
+    /// Free engines are claimed only after this time, when the live instances know each other.
+    core::duration firstClaim = std::chrono::milliseconds(600);
 };
 
 /// Who holds an engine.
@@ -45,6 +48,15 @@
     friend auto operator<=>(const claim &, const claim &) = default;
 };
 
+/// An engine or an instance with its failure domain.
+struct located
+{
+    std::string name;
+    std::string failureDomain;
+
+    friend auto operator<=>(const located &, const located &) = default;
+};
+
 /// Which instance may give orders to which engine. The claims are records of a topic of the store,
 /// appended only behind the last record that the claimant has read, so all instances agree on
 /// their order. A claim on an engine of another holder takes effect only after that holder must
@@ -52,9 +64,10 @@
 class holder_claims
 {
 public:
-    holder_claims(claim_settings inSettings, claim inSelf)
+    holder_claims(claim_settings inSettings, claim inSelf, std::string inFailureDomain)
         : mSettings(inSettings)
         , mSelf(std::move(inSelf))
+        , mFailureDomain(std::move(inFailureDomain))
     { }
 
     void setSettings(claim_settings inSettings) { mSettings = inSettings; }
@@ -89,12 +102,12 @@
     void setMembers(std::vector<std::string> inMembers) { mMembers = std::move(inMembers); }
 
     /// Engines that this instance should claim now, of those that exist.
-    std::vector<std::string> wanted(const std::vector<std::string> &inEngines,
-                                    const std::set<std::string> &inLiveInstances,
+    std::vector<std::string> wanted(const std::vector<located> &inEngines,
+                                    const std::vector<located> &inLiveInstances,
                                     core::time_point inNow) const;
 
     /// Claims on engines that do not exist any more and can be removed.
-    std::vector<std::string> obsolete(const std::vector<std::string> &inEngines) const;
+    std::vector<std::string> obsolete(const std::vector<located> &inEngines) const;
 
     const claim &self() const { return mSelf; }
 
@@ -106,11 +119,13 @@
         core::time_point notBefore;
     };
 
+    bool isPreferred(const located &inEngine, const std::vector<located> &inLiveInstances) const;
     core::time_point lastHeard(const std::string &inInstance) const;
     bool lookIsValid(core::time_point inNow) const;
 
     claim_settings mSettings;
     claim mSelf;
+    std::string mFailureDomain;
     std::map<std::string, held_engine, std::less<>> mEngines;
     std::map<std::string, core::time_point, std::less<>> mHeard;
     std::map<std::string, core::time_point, std::less<>> mHeardBy;
--- a/corneltally/orders/order_service.cpp
+++ b/corneltally/orders/order_service.cpp
@@ -57,7 +57,7 @@
     , mOptions(std::move(inOptions))
     , mFetcher(ioRegistry.loop())
     , mTimer(ioRegistry.loop(), [this] { tick(); })
-    , mClaims(mOptions.claims, mOptions.self)
+    , mClaims(mOptions.claims, mOptions.self, mOptions.failureDomain)
 {
     mRegistry.handle<catalog::fleet_topic_updated>(
         cName, [this](const catalog::fleet_topic_updated &inUpdate) { topicUpdated(inUpdate); });
@@ -83,16 +83,18 @@
         cName, [this](const catalog::endpoints_listed &inListed) {
             if (inListed.mayReturn)
                 return;
-            for (const std::string &id : engineIds()) {
-                if (std::ranges::find(inListed.ids, id) == inListed.ids.end())
-                    endpointGone(id);
+            for (const located &engine : knownEngines()) {
+                if (std::ranges::find(inListed.ids, engine.name) == inListed.ids.end())
+                    endpointGone(engine.name);
             }
         });
-    mRegistry.handle<fleet::instances_changed>(
-        cName, [this](const fleet::instances_changed &inChanged) {
-            mLive = {inChanged.live.begin(), inChanged.live.end()};
-            mClaims.setMembers(inChanged.members);
-        });
+    mRegistry.handle<fleet::instances_changed>(cName,
+                                               [this](const fleet::instances_changed &inChanged) {
+                                                   mLive.clear();
+                                                   for (const auto &[name, domain] : inChanged.live)
+                                                       mLive.push_back({name, domain});
+                                                   mClaims.setMembers(inChanged.members);
+                                               });
     mRegistry.handle<fleet::mesh_received>(cName, [this](const fleet::mesh_received &inReceived) {
         mClaims.heard(inReceived.instance, core::boot_clock::now());
         if (const auto *request = std::get_if<fleet::load_wanted>(&inReceived.body))
@@ -160,7 +162,7 @@
     mClaims.confirmed(inUpdate.update.asOf);
     mTopicEnd = inUpdate.update.end;
     mTopicLoaded = true;
-    for (const std::string &engine : engineIds()) {
+    for (const auto &[engine, domain] : knownEngines()) {
         const bool holds = mClaims.holds(engine);
         if (holds && !mHeld.contains(engine)) {
             mHeld.emplace(engine, held{engine_keeper(engine, mOptions.keeper)});
@@ -178,14 +180,14 @@
     return service != nullptr && service->engine ? &*service->engine : nullptr;
 }
 
-std::vector<std::string> order_service::engineIds() const
+std::vector<located> order_service::knownEngines() const
 {
-    std::vector<std::string> ids;
+    std::vector<located> engines;
     for (const auto &[id, entry] : mEntries) {
         if (profileOf(entry) != nullptr)
-            ids.push_back(id);
+            engines.push_back({id, entry.failureDomain});
     }
-    return ids;
+    return engines;
 }
 
 void order_service::describe(const std::string &inEngine)
@@ -231,7 +233,7 @@
 {
     if (mAppendUnderWay || !mTopicLoaded || inNow < mClaimNotBefore)
         return;
-    const std::vector<std::string> existing = engineIds();
+    const std::vector<located> existing = knownEngines();
     std::vector<store::record> records;
     for (const std::string &engine : mClaims.wanted(existing, mLive, inNow))
         records.push_back(fleet::claimRecord(engine, mOptions.self));
--- a/corneltally/orders/order_service.h
+++ b/corneltally/orders/order_service.h
@@ -30,6 +30,7 @@
 {
     /// This instance; the fence is set with each claim.
     claim self;
+    std::string failureDomain;
     claim_settings claims;
     keeper_settings keeper;
 };
@@ -77,7 +78,7 @@
                     engines::order_outcome inOutcome, core::time_point inSentAt);
     void askReport(const std::string &inEngine, held &ioHeld, core::time_point inNow);
     void publish(const std::string &inEngine, held &ioHeld, core::time_point inNow);
-    std::vector<std::string> engineIds() const;
+    std::vector<located> knownEngines() const;
     const routing::engine_profile *profileOf(const engines::endpoint_entry &inEntry) const;
 
     kernel::service_registry &mRegistry;
@@ -90,7 +91,7 @@
     std::map<std::string, engines::endpoint_entry> mEntries;
     std::map<std::string, held> mHeld;
     std::map<std::string, std::uint64_t> mNamedVersions;
-    std::set<std::string> mLive;
+    std::vector<located> mLive;
     /// Adapters on their way to the engines that other instances hold, by engine.
     std::map<std::string, engines::residency> mElsewhere;
     std::uint64_t mTopicEnd = 0;
