Correct the count of accepted orders while orders are refused; reach endpoints faster

Change: only what may have changed the engine makes a report too old, and refusals do not put it off.

--- a/apps/check_command.cpp
+++ b/apps/check_command.cpp
@@ -1,6 +1,7 @@
 #include "apps/command_line.h"
 #include "apps/commands.h"
 #include "apps/files.h"
+#include "corneltally/settings/forwarding_settings.h"
 #include "corneltally/settings/node_kind.h"
 #include "corneltally/settings/process_settings.h"
 #include "corneltally/settings/settings_tree.h"
@@ -32,6 +33,11 @@
     if (!text)
         return std::nullopt;
     std::vector<problem> problems;
+    if (settings::forwarding_settings::sIsOne(*text)) {
+        settings::forwarding_settings::sFromToml(*text, inPath, &problems);
+        ioProblems.insert(ioProblems.end(), problems.begin(), problems.end());
+        return std::nullopt;
+    }
     const auto result = process_settings::sFromToml(*text, inPath, &problems);
     ioProblems.insert(ioProblems.end(), problems.begin(), problems.end());
     return result ? std::optional(*result) : std::nullopt;
--- a/corneltally/engines/endpoint_choice.cpp
+++ b/corneltally/engines/endpoint_choice.cpp
@@ -129,9 +129,16 @@
     const bool needsModel = !inRequest.model.empty();
     const std::string key = adapterKey(inRequest.model, inRequest.adapter);
     std::vector<candidate> candidates;
-    for (endpoint *target : ioBook.ofService(inRequest.service)) {
+    const std::vector<endpoint *> all = ioBook.ofService(inRequest.service);
+    // Where most endpoints fail, leaving them out would only overload the others.
+    const bool respectHealth
+        = 2
+            * std::ranges::count_if(
+                all, [](const endpoint *inEndpoint) { return inEndpoint->health.isProbing(); })
+        < std::ssize(all);
+    for (endpoint *target : all) {
         if (!ioBook.usable(*target, inNow) || inRequest.excluded.contains(target->entry.id)
-            || !target->health.mayStart(inNow))
+            || (respectHealth && !target->health.mayStart(inNow)))
             continue;
         if (needsModel && !target->holdsModel(inRequest.model))
             continue;
--- a/corneltally/forwarding/forward_run.cpp
+++ b/corneltally/forwarding/forward_run.cpp
@@ -25,6 +25,8 @@
 /// Time for which nothing is sent to an address at which another endpoint answered; the entry of
 /// the endpoint is renewed or removed meanwhile.
 constexpr core::duration cOtherEndpointPause = std::chrono::seconds(2);
+/// Time for which nothing is sent to an endpoint that could not be reached.
+constexpr core::duration cUnreachablePause = milliseconds(500);
 /// Ranks of requests at an engine.
 constexpr int cLastUrgency = 9;
 /// An engine may refuse requests for an adapter for this long after its load should have ended.
@@ -185,7 +187,9 @@
     const auto choice = engines::chooseEndpoint(mContext.book, mWork, mContext.failureDomain,
                                                 mContext.settings.choice, now);
     if (!choice) {
-        if (mStatement == run_statement::not_run)
+        if (mFailureKept)
+            passFailure();
+        else if (mStatement == run_statement::not_run)
             refuseBusy("no endpoint can serve the request");
         else
             answerUnknown("no other endpoint can serve the request");
@@ -544,6 +548,10 @@
 /// Passes the answer of an endpoint on that has failed.
 void forward_run::passFailure()
 {
+    if (mAnswerBegun) {
+        breakOff("the endpoint failed");
+        return;
+    }
     endLoad();
     mStatement = run_statement::ran;
     const int status = mAnswer.status;
@@ -580,14 +588,17 @@
                     {"run", toString(mStatement)},
                     {"ms", inMs(now - mSentAt)}});
     mContext.metrics.count("attempts_failed_total{reason=\"" + std::string(inReason) + "\"}");
+    mFailureKept = inEnd == attempt_end::failure_answered;
     const bool loading = inEnd == attempt_end::refused && !mWork.adapter.empty();
     if (sameStart) {
         if (loading || inEnd == attempt_end::refused)
             target->health.abandoned();
         else
             target->health.failed(now);
-        if (inEnd == attempt_end::not_sent)
+        if (inEnd == attempt_end::not_sent) {
             mContext.pool.forget(target->entry.address);
+            target->notBefore = now + cUnreachablePause;
+        }
     }
     endLoad();
     if (inEnd == attempt_end::not_sent) {
--- a/corneltally/forwarding/forward_run.h
+++ b/corneltally/forwarding/forward_run.h
@@ -119,6 +119,8 @@
     int mLoadsAsked = 0;
     routing::answer_terms mAnswer;
     bool mHeadSeen = false;
+    /// The last attempt ended with an endpoint's own failure, which can be passed on.
+    bool mFailureKept = false;
     bool mAnswerBegun = false;
     bool mWholeAnswer = false;
     double mCharged = 0;
--- a/corneltally/http1/client_connection.cpp
+++ b/corneltally/http1/client_connection.cpp
@@ -8,6 +8,10 @@
 
 namespace {
 
+/// Time to open a connection. It takes a few milliseconds; a lost opening packet is sent again only
+/// after a second.
+constexpr core::duration cConnectTime = std::chrono::milliseconds(400);
+
 /// Reads the time-out of a field such as "timeout=5, max=100".
 std::optional<core::duration> keepAliveTimeout(std::string_view inValue)
 {
@@ -27,10 +31,16 @@
 client_connection::client_connection(kernel::event_loop &inLoop, const address &inTarget,
                                      core::duration inDataTimeout)
     : mStream(inLoop, inTarget, inDataTimeout)
+    , mConnectTimer(inLoop, [this] { ended(stream_end::failed); })
     , mTarget(inTarget)
     , mLastInput(core::boot_clock::now())
 {
-    mStream.setEvents({.onConnected = [this] { mConnected = true; },
+    mConnectTimer.startOnce(cConnectTime);
+    mStream.setEvents({.onConnected =
+                           [this] {
+                               mConnected = true;
+                               mConnectTimer.cancel();
+                           },
                        .onInput = [this] { readInput(); },
                        .onDrained = {},
                        .onEnd = [this](stream_end inEnd) { ended(inEnd); }});
--- a/corneltally/http1/client_connection.h
+++ b/corneltally/http1/client_connection.h
@@ -4,6 +4,7 @@
 #include "corneltally/http1/message_head.h"
 #include "corneltally/http1/message_parser.h"
 #include "corneltally/http1/socket_stream.h"
+#include "corneltally/kernel/timer.h"
 
 #include <functional>
 #include <optional>
@@ -76,6 +77,7 @@
     void noteHead(const response_head &inHead);
 
     socket_stream mStream;
+    kernel::timer mConnectTimer;
     address mTarget;
     events mEvents;
     std::optional<message_parser> mParser;
--- a/corneltally/orders/engine_keeper.cpp
+++ b/corneltally/orders/engine_keeper.cpp
@@ -167,7 +167,6 @@
     }
     ++mRevision;
     mUnderWay = under_way{.order = *order, .sent = true};
-    mLastOrderAt = inNow;
     return order;
 }
 
@@ -248,6 +247,10 @@
         return;
     const engines::engine_order order = mUnderWay->order;
     const bool repeated = mUnderWay->repeated;
+    // An order that was refused changes nothing, so a report from before it still holds.
+    if (inOutcome == engines::order_outcome::accepted || inOutcome == engines::order_outcome::holds
+        || inOutcome == engines::order_outcome::unknown)
+        mLastChangeAt = inNow;
     if (inOutcome == engines::order_outcome::unknown) {
         mUnderWay->sent = false;
         mUnderWay->repeated = true;
@@ -261,8 +264,9 @@
         settled(order, true, inNow);
         return;
     }
-    // A report must be newer than the order to show what became of it.
-    mNextReport = inNow + mSettings.reportLag;
+    // A report must be newer than the order to show what became of it; further refusals must not put
+    // it off.
+    mNextReport = std::min(mNextReport, inNow + mSettings.reportLag);
     mOrderNotBefore = inNow + mSettings.busyPause;
     if (inOutcome == engines::order_outcome::conflict && repeated) {
         // The first of the two may have been accepted, or another order is under way.
@@ -293,8 +297,9 @@
             mSlots.loadEnded(key, true, inNow);
         return;
     }
+    const core::time_point readyAt = inNow + loadTime(key);
     mVersions.erase(key);
-    mArriving[key] = {inOrder.version, inNow + loadTime(key)};
+    mArriving[key] = {inOrder.version, readyAt};
 }
 
 void engine_keeper::noteUnloaded(const std::string &inKey)
@@ -372,7 +377,7 @@
         return;
     const core::time_point described = mReportStartedAt - mSettings.reportLag;
     // While an order is under way, or one was given since, the report may be older than it.
-    if (mUnderWay || described < mLastOrderAt) {
+    if (mUnderWay || described < mLastChangeAt) {
         if (mOrders != inReport->orders)
             mNextReport = inNow + mSettings.resyncPeriod;
         return;
--- a/corneltally/orders/engine_keeper.h
+++ b/corneltally/orders/engine_keeper.h
@@ -52,7 +52,7 @@
     /// Lag of reports (platform's pages: some hundred ms).
     core::duration reportLag = std::chrono::milliseconds(400);
     /// Pause before an order without answer is given again.
-    core::duration repeatPause = std::chrono::milliseconds(150);
+    core::duration repeatPause = std::chrono::milliseconds(20);
     /// Reports are asked for this often, and more often after a surprise.
     core::duration reportPeriod = std::chrono::seconds(2);
     core::duration resyncPeriod = std::chrono::milliseconds(150);
@@ -187,7 +187,8 @@
     bool mReportUnderWay = false;
     core::time_point mReportStartedAt;
     core::time_point mNextReport;
-    core::time_point mLastOrderAt;
+    /// When an order last may have changed the engine.
+    core::time_point mLastChangeAt;
     std::optional<core::time_point> mModelLoadUntil;
     std::uint64_t mRevision = 1;
 };
--- a/tests/unit/engines_endpoint_choice_test.cpp
+++ b/tests/unit/engines_endpoint_choice_test.cpp
@@ -145,6 +145,27 @@
     CHECK(fleet.book.find("e1")->adapters.resident.empty());
 }
 
+TEST_CASE("an endpoint that fails is left out, unless most endpoints fail")
+{
+    three_engines fleet;
+    const auto fail = [&](const std::string &inId) {
+        for (int failure = 0; failure < 3; ++failure) {
+            fleet.book.find(inId)->health.started();
+            fleet.book.find(inId)->health.failed(cStart);
+        }
+    };
+    for (const std::string id : {"e1", "e2", "e3"})
+        fleet.report(id, {.resident = {{"base/a1", 1}}});
+    fleet.book.find("e2")->own.promptTokens = 50'000;
+    fleet.book.find("e3")->own.promptTokens = 50'000;
+    CHECK(fleet.choose(adapterRequest())->endpoint == "e1");
+    fail("e1");
+    CHECK(fleet.choose(adapterRequest())->endpoint != "e1");
+    fail("e2");
+    fail("e3");
+    CHECK(fleet.choose(adapterRequest()));
+}
+
 TEST_CASE("a plain service's request stays in its failure domain while there is room")
 {
     engines::endpoint_book book;
--- a/tests/unit/forwarding_front_test.cpp
+++ b/tests/unit/forwarding_front_test.cpp
@@ -341,6 +341,18 @@
     CHECK(http1::findField(view.fields, platform::cSealField) == "s1");
 }
 
+TEST_CASE("an endpoint's failure is passed on where no other endpoint is left")
+{
+    front_fixture fixture;
+    fixture.configure(repetition::repeatable, 3);
+    fixture.registry.broadcast(catalog::endpoint_removed{"e2", false});
+    fixture.settle(50ms);
+    fixture.first.script = {{cFailed}};
+    const caller_view view = fixture.call();
+    CHECK(view.status == 500);
+    CHECK(http1::findField(view.fields, platform::cSealField) == "s1");
+}
+
 TEST_CASE("an unsealed success, a cut one and one in an encoding are not passed on")
 {
     front_fixture fixture;
--- a/tests/unit/orders_engine_keeper_test.cpp
+++ b/tests/unit/orders_engine_keeper_test.cpp
@@ -206,6 +206,26 @@
     CHECK((found == adapters.resident.end() || found->second < 2));
 }
 
+TEST_CASE("a wrong count of accepted orders is corrected by a report, while orders are refused")
+{
+    kept_engine engine;
+    engine.load("a1");
+    // The engine said "accepted", but what was asked for held already: the count did not advance.
+    --engine.accepted;
+    bool inStep = false;
+    for (int step = 0; step < 20 && !inStep; ++step) {
+        engine.now += 100ms;
+        engine.ask("a2");
+        if (const auto order = engine.next()) {
+            inStep = order->expectedOrders == engine.accepted;
+            engine.end(*order, inStep ? order_outcome::accepted : order_outcome::conflict);
+        }
+        if (engine.keeper.wantsReport(engine.now))
+            engine.report({{"a1", 1}}, {});
+    }
+    CHECK(inStep);
+}
+
 TEST_CASE("a version that was named replaces an adapter in use only when time presses")
 {
     kept_engine engine;
--- a/tests/unit/settings_forwarding_test.cpp
+++ b/tests/unit/settings_forwarding_test.cpp
@@ -2,6 +2,8 @@
 
 #include "corneltally/settings/forwarding_settings.h"
 
+#include <fstream>
+#include <sstream>
 #include <string>
 #include <vector>
 
@@ -43,6 +45,19 @@
     CHECK_FALSE(forwarding_settings::sIsOne("[platform]\naddress = \"1.1.1.1:1\"\n"));
 }
 
+TEST_CASE("each key is on the reference page")
+{
+    std::ifstream file("docs/SETTINGS.md");
+    std::ostringstream page;
+    page << file.rdbuf();
+    for (const auto &entry : forwarding_settings::sKeys()) {
+        const std::string row = "| `" + std::string(entry.table) + "` | `"
+            + std::string(entry.definition.key) + "` | ";
+        CHECK(page.str().find(row, page.str().find("## Settings of a forwarding instance"))
+              != std::string::npos);
+    }
+}
+
 TEST_CASE("all mistakes are named with line, key and remedy")
 {
     std::string text = cFile;
