Give up waiting reads when the store is back, and let holders outlast a restart of another instance

Change: reads wait 2 s, and are started anew when another topic's read succeeds after a failure. Change: the word of another instance counts for as long as that one could not have taken over, 6.5 s.

--- a/corneltally/catalog/catalog_service.h
+++ b/corneltally/catalog/catalog_service.h
@@ -28,7 +28,7 @@
     std::string fleetTopic;
     /// Time that a read of the operator's records waits at the store. A silent connection is
     /// noticed after it; until then other instances pass the records on.
-    core::duration longWait = std::chrono::milliseconds(4000);
+    core::duration longWait = std::chrono::milliseconds(2000);
     /// The same for the instances' own topic: holders of engines stop when their last look at the
     /// claims is 4 s old.
     core::duration fleetWait = std::chrono::milliseconds(2200);
@@ -163,6 +163,11 @@
     {
         if (inUpdate.afterOutage)
             mStoreReturnedAt = core::boot_clock::now();
+        // Reads that wait at the store since before an outage may never be answered.
+        if (inUpdate.afterFailure) {
+            mOperator.restart();
+            mFleet.restart();
+        }
         const bool mayReturn
             = inUpdate.afterOutage || core::boot_clock::now() - mStoreReturnedAt < cReturnWindow;
         std::vector<std::string> ids;
--- a/corneltally/orders/engine_keeper.cpp
+++ b/corneltally/orders/engine_keeper.cpp
@@ -264,8 +264,8 @@
         settled(order, true, inNow);
         return;
     }
-    // A report must be newer than the order to show what became of it; further refusals must not put
-    // it off.
+    // A report must be newer than the order to show what became of it; further refusals must not
+    // put it off.
     mNextReport = std::min(mNextReport, inNow + mSettings.reportLag);
     mOrderNotBefore = inNow + mSettings.busyPause;
     if (inOutcome == engines::order_outcome::conflict && repeated) {
--- a/corneltally/orders/holder_claims.h
+++ b/corneltally/orders/holder_claims.h
@@ -22,8 +22,10 @@
     /// claims engines of an instance that it hears. An instance that the holder does not know of
     /// yet can't order before its own silence and its wait for the holder are over.
     core::duration promisedLookAge = std::chrono::milliseconds(11000);
-    /// Longest age of such a word.
-    core::duration promiseAge = std::chrono::milliseconds(1200);
+    /// Longest age of such a word. An instance claims only after its own silence time, and a claim
+    /// takes effect only after the lookAge, so this may be their sum, less the time after which an
+    /// instance counts as not heard (1.2 s) and a margin for words that arrive late.
+    core::duration promiseAge = std::chrono::milliseconds(6500);
     /// Time between the orders of two holders of one engine that the operator asks for.
     core::duration changePause = std::chrono::milliseconds(3000);
     /// Added to the changePause for delays of orders on their way.
--- a/corneltally/store/topic_follower.h
+++ b/corneltally/store/topic_follower.h
@@ -39,7 +39,8 @@
     bool complete = false;
     /// When the read was started whose answer this is: the state is at least as new.
     core::time_point asOf;
-    /// Whether the store had not answered for some time before.
+    /// Whether the read before failed, and whether the store had not answered for some time.
+    bool afterFailure = false;
     bool afterOutage = false;
     /// Offset from which the records were read, and the one behind the last of them.
     std::uint64_t from = 0;
@@ -75,6 +76,13 @@
     std::uint64_t end() const { return mOffset; }
     bool isAway(core::time_point inNow) const { return inNow - mConfirmedAt > sOutageTime; }
 
+    /// Gives up the read that is under way and starts another one.
+    void restart()
+    {
+        if (!mTimer.isPending())
+            next();
+    }
+
     /// Reads again soon, for example because an append failed on an old offset.
     void hurry()
     {
@@ -107,13 +115,18 @@
     {
         mTimer.cancel();
         mStartedAt = core::boot_clock::now();
+        const std::uint64_t read = ++mRead;
         if (!mLoaded) {
-            mClient.readNewest(mTopic, mAfterKey,
-                               [this](const read_result &inResult) { newestRead(inResult); });
+            mClient.readNewest(mTopic, mAfterKey, [this, read](const read_result &inResult) {
+                if (read == mRead)
+                    newestRead(inResult);
+            });
             return;
         }
-        mClient.read(mTopic, mOffset, mSettings.wait,
-                     [this](const read_result &inResult) { recordsRead(inResult); });
+        mClient.read(mTopic, mOffset, mSettings.wait, [this, read](const read_result &inResult) {
+            if (read == mRead)
+                recordsRead(inResult);
+        });
     }
 
     void schedule(core::duration inDelay)
@@ -126,6 +139,7 @@
     {
         core::logEvent(core::log_level::warning, "store_read_failed",
                        {{"topic", mTopic}, {"offset", mOffset}, {"loaded", mLoaded}});
+        mFailed = true;
         schedule(mRetry);
         mRetry = std::min(mRetry * 2, mSettings.lastRetry);
     }
@@ -179,9 +193,11 @@
     {
         const bool afterOutage
             = mConfirmedAt != core::time_point() && inAsOf - mConfirmedAt > sOutageTime;
+        const bool afterFailure = std::exchange(mFailed, false);
         mConfirmedAt = inAsOf;
         mRetry = mSettings.firstRetry;
-        mHandler({std::move(inRecords), inComplete, inAsOf, afterOutage, inFrom, mOffset});
+        mHandler(
+            {std::move(inRecords), inComplete, inAsOf, afterFailure, afterOutage, inFrom, mOffset});
     }
 
     Client &mClient;
@@ -191,6 +207,9 @@
     kernel::timer mTimer;
     core::duration mRetry = mSettings.firstRetry;
     bool mLoaded = false;
+    bool mFailed = false;
+    /// Number of the last read; answers to earlier ones are dropped.
+    std::uint64_t mRead = 0;
     std::uint64_t mOffset = 0;
     std::string mAfterKey;
     std::vector<record> mPages;
--- a/tests/unit/catalog_service_test.cpp
+++ b/tests/unit/catalog_service_test.cpp
@@ -8,6 +8,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -61,6 +62,9 @@
             if (record.offset >= inFrom)
                 result.records.push_back(record);
         }
+        // A read on a connection that went silent is never answered.
+        if (silentTopics.erase(inTopic) > 0)
+            return;
         answer(std::move(inHandler), std::move(result));
     }
 
@@ -89,6 +93,7 @@
 
     std::map<std::string, topic> topics;
     bool away = false;
+    std::set<std::string> silentTopics;
     int newestReads = 0;
 
 private:
@@ -205,6 +210,22 @@
     CHECK(fixture.versions.back() == 8);
 }
 
+TEST_CASE("a read that is never answered is given up when the store is back")
+{
+    catalog_fixture fixture;
+    fixture.store->put(platform::cOperatorTopic, "config", configuration(7));
+    fixture.registry.startAll();
+    fixture.run(50ms);
+    fixture.store->silentTopics = {platform::cOperatorTopic};
+    fixture.run(50ms);
+    fixture.store->away = true;
+    fixture.run(300ms);
+    fixture.store->away = false;
+    fixture.store->put(platform::cOperatorTopic, "config", configuration(8));
+    fixture.run(1s);
+    CHECK(fixture.versions.back() == 8);
+}
+
 TEST_CASE("an entry that lapsed while the store was away may return, another one is gone")
 {
     catalog_fixture fixture;
--- a/tests/unit/orders_holder_claims_test.cpp
+++ b/tests/unit/orders_holder_claims_test.cpp
@@ -84,7 +84,11 @@
     CHECK_FALSE(claims.mayOrder("e1", later));
     claims.heardBy("c", later);
     CHECK(claims.mayOrder("e1", later));
+    // One that is restarted meanwhile does not stop the holder at once.
+    claims.heardBy("b", cStart + 10s);
+    CHECK(claims.mayOrder("e1", cStart + 10s));
     CHECK_FALSE(claims.mayOrder("e1", later + settings.promiseAge));
+    CHECK(settings.promiseAge + 1200ms < settings.silence + settings.lookAge);
     claims.heardBy("b", cStart + settings.promisedLookAge);
     claims.heardBy("c", cStart + settings.promisedLookAge);
     CHECK_FALSE(claims.mayOrder("e1", cStart + settings.promisedLookAge));
