Let holders go on when an instance is gone for good

Change: the record of an instance that was not heard for 8 s is removed; an instance claims engines of others only 7 s after its record was read, so holders may leave out those without a record. Rates go on counting it for 60 s.

--- a/corneltally/fleet/mesh_messages.h
+++ b/corneltally/fleet/mesh_messages.h
@@ -29,6 +29,8 @@
 struct instances_changed
 {
     std::vector<std::string> members;
+    /// Those of them that may claim engines: they have a record or are live.
+    std::vector<std::string> recorded;
     /// Failure domains of the live ones, by name.
     std::map<std::string, std::string> live;
 
--- a/corneltally/fleet/mesh_service.cpp
+++ b/corneltally/fleet/mesh_service.cpp
@@ -23,7 +23,11 @@
 constexpr core::duration cUnheardTime = std::chrono::milliseconds(1500);
 constexpr core::duration cFirstRetry = std::chrono::milliseconds(100);
 constexpr core::duration cLastRetry = std::chrono::milliseconds(1000);
-/// An instance that was not heard for this long is taken to be replaced; its record is removed.
+/// The record of an instance that was not heard for this long is removed, so that holders need not
+/// wait for its word. If it lives it records itself again.
+constexpr core::duration cRecordTime = std::chrono::seconds(8);
+/// An instance without a record counts in the rates for this long, since it may be cut off and
+/// live.
 constexpr core::duration cForgetTime = std::chrono::seconds(60);
 
 } // namespace
@@ -146,20 +150,27 @@
 
 void mesh_service::removeMember(const std::string &inInstance)
 {
-    if (mInstances.erase(inInstance) > 0)
-        core::logEvent(core::log_level::info, "instance_removed", {{"peer", inInstance}});
+    core::logEvent(core::log_level::info, "instance_record_removed", {{"peer", inInstance}});
+    const auto found = mInstances.find(inInstance);
+    if (found != mInstances.end())
+        found->second.recorded = false;
     if (inInstance == mOptions.self.instance)
         mSelfRecorded = false;
 }
 
 void mesh_service::dropSilentMembers(core::time_point inNow)
 {
+    std::erase_if(mInstances, [&](const auto &inEntry) {
+        const known_instance &known = inEntry.second;
+        return !known.recorded && !known.live && known.heardAt
+            && inNow - *known.heardAt > cForgetTime;
+    });
     if (!mTopicLoaded || mRecordUnderWay)
         return;
     for (auto &[name, known] : mInstances) {
         if (!known.heardAt)
-            known.heardAt = inNow - cLiveTime * 2;
-        if (known.live || inNow - *known.heardAt < cForgetTime)
+            known.heardAt = inNow;
+        if (known.live || !known.recorded || inNow - *known.heardAt < cRecordTime)
             continue;
         // One live instance writes: the first by name.
         const bool isFirst = std::ranges::none_of(mInstances, [&](const auto &inOther) {
@@ -168,7 +179,6 @@
         if (!isFirst)
             return;
         mRecordUnderWay = true;
-        known.heardAt = inNow;
         mRegistry.post(
             "catalog",
             catalog::fleet_append{std::string(cName), {removedMember(name)}, std::nullopt});
@@ -378,6 +388,8 @@
     instances_changed current;
     for (const auto &[name, known] : mInstances) {
         current.members.push_back(name);
+        if (known.recorded || known.live)
+            current.recorded.push_back(name);
         if (known.live)
             current.live.emplace(name, known.description.failureDomain);
     }
--- a/corneltally/orders/holder_claims.cpp
+++ b/corneltally/orders/holder_claims.cpp
@@ -121,9 +121,9 @@
             claims.push_back(engine.name);
             continue;
         }
-        const bool isFree = holder == nullptr
-            ? inNow - *mFirstConfirmed >= mSettings.firstClaim
-            : inNow - lastHeard(holder->instance) >= mSettings.silence;
+        const bool isFree = holder == nullptr ? inNow - *mFirstConfirmed >= mSettings.firstClaim
+                                              : mRecordedAt
+                && inNow - std::max(*mRecordedAt, lastHeard(holder->instance)) >= mSettings.silence;
         if (isFree && isPreferred(engine, inLiveInstances))
             claims.push_back(engine.name);
     }
--- a/corneltally/orders/holder_claims.h
+++ b/corneltally/orders/holder_claims.h
@@ -100,6 +100,10 @@
     /// Another instance said that it hears this one.
     void heardBy(std::string_view inInstance, core::time_point inNow);
 
+    /// The record of this instance was read. Instances without a record don't count for holders, so
+    /// this one claims engines of others only after the silence time from then.
+    void recorded(core::time_point inNow) { mRecordedAt = inNow; }
+
     /// All other instances that may exist.
     void setMembers(std::vector<std::string> inMembers) { mMembers = std::move(inMembers); }
 
@@ -133,6 +137,7 @@
     std::map<std::string, core::time_point, std::less<>> mHeardBy;
     std::vector<std::string> mMembers;
     core::time_point mConfirmedAt;
+    std::optional<core::time_point> mRecordedAt;
     std::optional<core::time_point> mFirstConfirmed;
 };
 
--- a/corneltally/orders/order_service.cpp
+++ b/corneltally/orders/order_service.cpp
@@ -93,7 +93,7 @@
                                                    mLive.clear();
                                                    for (const auto &[name, domain] : inChanged.live)
                                                        mLive.push_back({name, domain});
-                                                   mClaims.setMembers(inChanged.members);
+                                                   mClaims.setMembers(inChanged.recorded);
                                                });
     mRegistry.handle<fleet::mesh_received>(cName, [this](const fleet::mesh_received &inReceived) {
         mClaims.heard(inReceived.instance, core::boot_clock::now());
@@ -141,6 +141,8 @@
     const core::time_point now = core::boot_clock::now();
     std::set<std::string> listed;
     for (const store::record &record : inUpdate.update.records) {
+        if (fleet::memberName(record) == mOptions.self.instance && record.value)
+            mClaims.recorded(now);
         const auto engine = fleet::claimedEngine(record);
         if (!engine)
             continue;
--- a/tests/unit/orders_holder_claims_test.cpp
+++ b/tests/unit/orders_holder_claims_test.cpp
@@ -123,6 +123,7 @@
     orders::holder_claims claims(settings, cSelf, "north");
     claims.read("e1", claimOf("b", "10.0.0.2", 1, 5), cStart);
     claims.confirmed(cStart);
+    claims.recorded(cStart);
     claims.heard("b", cStart);
     claims.confirmed(cStart + 6s);
     CHECK(claims.wanted(cEngine, {}, cStart + 6s).empty());
@@ -132,6 +133,7 @@
     orders::holder_claims other(settings, {"c", "10.0.0.3", 1, 0}, "north");
     other.read("e1", claimOf("b", "10.0.0.2", 1, 5), cStart);
     other.confirmed(cStart);
+    other.recorded(cStart);
     other.heard("b", cStart);
     other.confirmed(cStart + 7s);
     const auto mine = claims.wanted(cEngine, {{"c", "north"}}, cStart + 7s);
@@ -142,6 +144,22 @@
     CHECK(other.wanted({{"e1", "south"}}, {{"d", "south"}}, cStart + 7s).empty());
 }
 
+TEST_CASE(
+    "an instance whose record was removed claims nothing before the others can know of it again")
+{
+    const orders::claim_settings settings;
+    orders::holder_claims claims(settings, cSelf, "north");
+    claims.read("e1", claimOf("b", "10.0.0.2", 1, 5), cStart);
+    claims.confirmed(cStart);
+    const core::time_point later = cStart + 20s;
+    claims.confirmed(later);
+    CHECK(claims.wanted(cEngine, {}, later).empty());
+    claims.recorded(later);
+    CHECK(claims.wanted(cEngine, {}, later).empty());
+    claims.confirmed(later + settings.silence);
+    CHECK(claims.wanted(cEngine, {}, later + settings.silence).size() == 1);
+}
+
 TEST_CASE("an older record never replaces a newer claim")
 {
     orders::holder_claims claims({}, cSelf, "north");
