--- a/corneltally/forwarding/forward_run.cpp
+++ b/corneltally/forwarding/forward_run.cpp
@@ -11,7 +11,6 @@
 #include "platform/request_codec.h"
 
 #include <algorithm>
-#include <charconv>
 #include <utility>
 
 namespace corneltally::forwarding {
@@ -20,8 +19,6 @@
 
 using milliseconds = std::chrono::milliseconds;
 
-/// Loads that one request may ask for before it is refused.
-constexpr int cMaxLoadsAsked = 2;
 /// Time for which nothing is sent to an address at which another endpoint answered; the entry of
 /// the endpoint is renewed or removed meanwhile.
 constexpr core::duration cOtherEndpointPause = std::chrono::seconds(2);
@@ -29,36 +26,11 @@
 constexpr core::duration cUnreachablePause = milliseconds(500);
 /// Ranks of requests at an engine.
 constexpr int cLastUrgency = 9;
-/// An engine may refuse requests for an adapter for this long after its load should have ended.
-constexpr core::duration cLoadTolerance = milliseconds(600);
-
 long long inMs(core::duration inDuration)
 {
     return std::chrono::duration_cast<milliseconds>(inDuration).count();
 }
 
-std::string failureBody(int inStatus, std::string_view inReason, run_statement inStatement)
-{
-    const std::string_view remedy = inStatus == 401 ? "send a valid key"
-        : inStatus == 404                           ? "use the host and path of a route"
-        : inStatus == 429 || inStatus == 503        ? "come back after the time that is stated"
-                                                    : "find out whether it ran before repeating it";
-    std::string body = R"({"error":{"status":)" + std::to_string(inStatus);
-    body.append(R"(,"run":")").append(toString(inStatement));
-    body.append(R"(","message":")").append(core::jsonEscape(inReason));
-    body.append(R"(","remedy":")").append(remedy).append("\"}}\n");
-    return body;
-}
-
-std::optional<long long> eventNumber(std::string_view inId)
-{
-    long long number = 0;
-    const auto [end, problem] = std::from_chars(inId.data(), inId.data() + inId.size(), number);
-    if (problem != std::errc() || end != inId.data() + inId.size())
-        return std::nullopt;
-    return number;
-}
-
 } // namespace
 
 forward_run::forward_run(forward_context &ioContext, http1::server_connection &ioCaller,
@@ -169,14 +141,6 @@
     return mAnswerBy - core::boot_clock::now();
 }
 
-core::duration forward_run::retryAfter() const
-{
-    constexpr std::uint64_t cSteps = 1000;
-    const auto step = static_cast<long long>(core::stableHash(mTerms.requestId) % cSteps);
-    return mContext.settings.retryAfterLeast
-        + mContext.settings.retryAfterSpread * step / static_cast<long long>(cSteps);
-}
-
 void forward_run::chooseAndSend()
 {
     const core::time_point now = core::boot_clock::now();
@@ -213,122 +177,6 @@
     checkAdapter();
 }
 
-/// Asks the holder of the engine for the adapter.
-void forward_run::orderAdapter()
-{
-    ++mLoadsAsked;
-    engines::endpoint &target = *mContext.book.find(mChoice.endpoint);
-    noteWaiting(target);
-    fleet::load_wanted wanted{.endpoint = mChoice.endpoint,
-                              .startedMs = mEndpointStart,
-                              .model = mWork.model,
-                              .adapter = mWork.adapter,
-                              .version = mWork.version,
-                              .tokens = mWork.promptTokens};
-    if (target.holder == mContext.instance)
-        mContext.registry.post("orders", orders::local_load_wanted{std::move(wanted)});
-    else
-        mContext.registry.post("mesh", fleet::mesh_send{target.holder, std::move(wanted)});
-}
-
-/// Counts the request among those that wait for a load at the endpoint.
-void forward_run::noteWaiting(engines::endpoint &ioTarget)
-{
-    if (mWaitingCounted)
-        return;
-    mWaitingCounted = true;
-    ++ioTarget.ownWaiting[engines::adapterKey(mWork.model, mWork.adapter)];
-}
-
-void forward_run::endWaiting()
-{
-    if (!mWaitingCounted)
-        return;
-    mWaitingCounted = false;
-    engines::endpoint *target = mContext.book.find(mChoice.endpoint);
-    if (target == nullptr || target->entry.startedMs != mEndpointStart)
-        return;
-    const auto found = target->ownWaiting.find(engines::adapterKey(mWork.model, mWork.adapter));
-    if (found != target->ownWaiting.end() && --found->second <= 0)
-        target->ownWaiting.erase(found);
-}
-
-bool forward_run::adapterThere() const
-{
-    const engines::endpoint *target = mContext.book.find(mChoice.endpoint);
-    const auto found
-        = target->adapters.resident.find(engines::adapterKey(mWork.model, mWork.adapter));
-    return found != target->adapters.resident.end() && found->second >= mWork.version;
-}
-
-/// Sends a waiting request if its adapter is there, or sets the time at which it should be.
-void forward_run::checkAdapter()
-{
-    const core::time_point now = core::boot_clock::now();
-    const engines::endpoint *target = mContext.book.find(mChoice.endpoint);
-    if (target == nullptr || target->entry.startedMs != mEndpointStart
-        || !mContext.book.usable(*target, now)) {
-        chooseAndSend();
-        return;
-    }
-    if (adapterThere()) {
-        send();
-        return;
-    }
-    const auto arriving
-        = target->adapters.arriving.find(engines::adapterKey(mWork.model, mWork.adapter));
-    mWake.cancel();
-    if (arriving != target->adapters.arriving.end())
-        endWaiting();
-    if (arriving == target->adapters.arriving.end() || arriving->second.version < mWork.version) {
-        mWake.startOnce(
-            std::max(core::duration::zero(), mWaitingSince + mContext.settings.loadPatience - now));
-    } else if (arriving->second.readyAt <= now) {
-        send();
-    } else {
-        mWake.startOnce(arriving->second.readyAt - now);
-    }
-}
-
-void forward_run::endpointChanged(std::string_view inEndpoint)
-{
-    if (waitsFor(inEndpoint))
-        checkAdapter();
-}
-
-void forward_run::woken()
-{
-    if (mState != state::waiting)
-        return;
-    const core::time_point now = core::boot_clock::now();
-    const engines::endpoint *target = mContext.book.find(mChoice.endpoint);
-    const std::string key = engines::adapterKey(mWork.model, mWork.adapter);
-    const bool expected = target != nullptr
-        && (target->adapters.arriving.contains(key) || adapterThere() || mLoadRetries > 0);
-    if (expected) {
-        if (mLoadRetries > 0)
-            send();
-        else
-            checkAdapter();
-        return;
-    }
-    if (now - mWaitingSince < mContext.settings.loadPatience) {
-        checkAdapter();
-        return;
-    }
-    core::logEvent(core::log_level::info, "load_not_begun",
-                   {{"request", mTerms.requestId},
-                    {"endpoint", mChoice.endpoint},
-                    {"adapter", mWork.adapter},
-                    {"waited_ms", inMs(now - mWaitingSince)}});
-    if (mLoadsAsked >= cMaxLoadsAsked) {
-        refuseBusy("the adapter could not be loaded in time");
-        return;
-    }
-    mWork.excluded.insert(mChoice.endpoint);
-    chooseAndSend();
-}
-
 void forward_run::send()
 {
     const core::time_point now = core::boot_clock::now();
@@ -391,17 +239,6 @@
     mPromptCounted = true;
 }
 
-/// Tells the holder of an engine whether requests of this instance run on the adapter.
-void forward_run::tellRunning(const engines::endpoint &inTarget, bool inRunning)
-{
-    fleet::adapter_running change{mChoice.endpoint, mEndpointStart,
-                                  engines::adapterKey(mWork.model, mWork.adapter), inRunning};
-    if (inTarget.holder == mContext.instance)
-        mContext.registry.post("orders", orders::local_adapter_running{std::move(change)});
-    else if (!inTarget.holder.empty())
-        mContext.registry.post("mesh", fleet::mesh_send{inTarget.holder, std::move(change)});
-}
-
 void forward_run::firstEventSeen()
 {
     if (!mFirstByteAt)
@@ -435,72 +272,6 @@
     mPromptCounted = false;
 }
 
-void forward_run::headArrived(const http1::response_head &inHead)
-{
-    mHeadSeen = true;
-    mAnswer = platform::decodeAnswer(inHead);
-    const bool isEvents = http1::findField(inHead.fields, "Content-Type")
-                              .value_or("")
-                              .starts_with("text/event-stream");
-    mWholeAnswer
-        = !routing::isStream(mRoute->kind) || !isEvents || mAnswer.status != 200 || !mAnswer.sealed;
-    // A stream that goes on keeps the head of its first endpoint.
-    if (!mAnswerBegun)
-        mHead = inHead;
-}
-
-void forward_run::bodyArrived(std::string_view inData)
-{
-    if (mWholeAnswer) {
-        if (!mAnswerBegun)
-            mBody.append(inData);
-        return;
-    }
-    forwardEvents(inData);
-}
-
-void forward_run::beginAnswer(std::optional<std::uint64_t> inLength)
-{
-    mAnswerBegun = true;
-    mState = state::answering;
-    http1::response_head head = mHead;
-    http1::removeConnectionFields(head.fields);
-    mCaller.startResponse(std::move(head), inLength);
-}
-
-void forward_run::forwardEvents(std::string_view inData)
-{
-    std::string bytes;
-    for (event_splitter::event &event : mSplitter.feed(inData)) {
-        const auto last = eventNumber(mLastEventId);
-        const auto number = eventNumber(event.id);
-        // A stream that goes on must not repeat what the caller has.
-        if (mSends > 1 && last && number && *number <= *last)
-            continue;
-        if (!event.id.empty())
-            mLastEventId = event.id;
-        bytes.append(event.bytes);
-    }
-    if (bytes.empty())
-        return;
-    firstEventSeen();
-    if (!mAnswerBegun)
-        beginAnswer(std::nullopt);
-    mCaller.sendBody(bytes);
-    if (!mUpstreamPaused && mCaller.unsentBytes() > mContext.settings.backlogBytes) {
-        mUpstreamPaused = true;
-        mUpstream->setReading(false);
-    }
-}
-
-void forward_run::callerDrained()
-{
-    if (!mUpstreamPaused || !mUpstream)
-        return;
-    mUpstreamPaused = false;
-    mUpstream->setReading(true);
-}
-
 void forward_run::exchangeEnded(const http1::exchange_end &inEnd)
 {
     using kind = http1::exchange_end::kind;
@@ -523,50 +294,6 @@
         passFailure();
 }
 
-void forward_run::answerComplete()
-{
-    const core::time_point now = core::boot_clock::now();
-    firstEventSeen();
-    engines::endpoint *target = mContext.book.find(mChoice.endpoint);
-    if (target != nullptr && target->entry.startedMs == mEndpointStart)
-        target->health.succeeded(*mFirstByteAt - mSentAt, now);
-    endLoad();
-    mStatement = run_statement::ran;
-    if (mWholeAnswer) {
-        beginAnswer(mBody.size());
-        mCaller.sendBody(mBody);
-    } else {
-        if (!mAnswerBegun)
-            beginAnswer(std::nullopt);
-        mCaller.sendBody(mSplitter.rest());
-    }
-    mState = state::done;
-    finish(mHead.status, "served", "complete");
-    mCaller.endResponse();
-}
-
-/// Passes the answer of an endpoint on that has failed.
-void forward_run::passFailure()
-{
-    if (mAnswerBegun) {
-        breakOff("the endpoint failed");
-        return;
-    }
-    endLoad();
-    mStatement = run_statement::ran;
-    const int status = mAnswer.status;
-    // These statuses promise that the request has not run, which the endpoint did not state.
-    if (status == 408 || status == 429 || status == 503) {
-        answerUnknown("the endpoint gave no clear answer");
-        return;
-    }
-    beginAnswer(mBody.size());
-    mCaller.sendBody(mBody);
-    mState = state::done;
-    finish(status, "failure_passed", "the endpoint failed");
-    mCaller.endResponse();
-}
-
 void forward_run::attemptEnded(attempt_end inEnd, std::string_view inReason)
 {
     const core::time_point now = core::boot_clock::now();
@@ -637,55 +364,6 @@
     breakOff(inReason);
 }
 
-/// Ends an answer that was begun and can't be completed, so that the caller sees that it is cut.
-void forward_run::breakOff(std::string_view inReason)
-{
-    dropAttempt();
-    finish(mHead.status, "broken_off", inReason);
-    mCaller.abort();
-}
-
-/// An engine that refuses for an adapter that is on its way, or that it lost, gets the request
-/// again once the adapter is there.
-bool forward_run::retryAfterLoad(std::string_view inReason)
-{
-    const core::time_point now = core::boot_clock::now();
-    engines::endpoint &target = *mContext.book.find(mChoice.endpoint);
-    const std::string key = engines::adapterKey(mWork.model, mWork.adapter);
-    const bool lost = mAnswer.otherEndpoint;
-    const bool young = mChoice.state != engines::endpoint_choice::readiness::ready
-        && now - mChoice.readyAt < cLoadTolerance;
-    if (!lost && !young && mLoadRetries == 0 && !target.adapters.arriving.contains(key))
-        return false;
-    if (mLoadRetries >= mContext.settings.maxLoadRetries || timeLeft() < cLeastAttemptTime
-        || !mContext.retries.tryRepeat(mService->name, now))
-        return false;
-    ++mLoadRetries;
-    mState = state::waiting;
-    mWaitingSince = now;
-    if (lost && !target.adapters.arriving.contains(key)) {
-        target.adapters.resident.erase(key);
-        const fleet::adapter_missing missing{mChoice.endpoint, mEndpointStart, key};
-        if (target.holder == mContext.instance)
-            mContext.registry.post("orders", orders::local_adapter_missing{missing});
-        else
-            mContext.registry.post("mesh", fleet::mesh_send{target.holder, missing});
-        if (!target.holderReady)
-            return false;
-        orderAdapter();
-        mWake.startOnce(mContext.settings.loadPatience);
-        return true;
-    }
-    core::logEvent(core::log_level::info, "attempt_deferred",
-                   {{"request", mTerms.requestId},
-                    {"endpoint", mChoice.endpoint},
-                    {"reason", inReason},
-                    {"retry", mLoadRetries}});
-    mWake.cancel();
-    mWake.startOnce(mContext.settings.loadRetryPause);
-    return true;
-}
-
 void forward_run::timeOver()
 {
     if (mState == state::done)
@@ -731,77 +409,4 @@
     finish(0, "caller_left", "the caller closed the connection");
 }
 
-void forward_run::refuse(int inStatus, std::string_view inReason,
-                         std::optional<core::duration> inRetryAfter)
-{
-    if (mAnswerBegun) {
-        breakOff(inReason);
-        return;
-    }
-    if (mCharged > 0 && mStatement == run_statement::not_run)
-        mContext.allowance.giveBack(mAccount, mCharged);
-    mState = state::done;
-    std::optional<milliseconds> wait;
-    if (inRetryAfter)
-        wait = std::chrono::duration_cast<milliseconds>(*inRetryAfter);
-    finish(inStatus, "refused", inReason);
-    mCaller.respond(platform::encodeOwnAnswer(inStatus, mTerms.requestId, wait),
-                    failureBody(inStatus, inReason, mStatement));
-}
-
-void forward_run::refuseBusy(std::string_view inReason)
-{
-    refuse(503, inReason, retryAfter());
-}
-
-void forward_run::answerUnknown(std::string_view inReason)
-{
-    if (mAnswerBegun) {
-        breakOff(inReason);
-        return;
-    }
-    const int status = timeLeft() <= core::duration::zero() ? 504 : 502;
-    mState = state::done;
-    finish(status, "unknown", inReason);
-    mCaller.respond(platform::encodeOwnAnswer(status, mTerms.requestId, std::nullopt),
-                    failureBody(status, inReason, mStatement));
-}
-
-void forward_run::finish(int inStatus, std::string_view inOutcome, std::string_view inReason)
-{
-    const core::time_point now = core::boot_clock::now();
-    mState = state::done;
-    endWaiting();
-    mDeadline.cancel();
-    mWake.cancel();
-    mContext.metrics.count("requests_total{outcome=\"" + std::string(inOutcome) + "\"}");
-    mContext.metrics.observe("request_seconds", now - mRequest.arrived);
-    if (mFirstByteAt)
-        mContext.metrics.observe("first_byte_seconds", *mFirstByteAt - mRequest.arrived);
-    const engines::endpoint *target = mContext.book.find(mChoice.endpoint);
-    core::logEvent(core::log_level::info, "request",
-                   {{"request", mTerms.requestId},
-                    {"route", mRoute != nullptr ? mRoute->name : std::string()},
-                    {"account", mAccount},
-                    {"configuration", mTable ? mTable->version() : 0},
-                    {"endpoint", mChoice.endpoint},
-                    {"adapter", mWork.adapter},
-                    {"sends", mSends},
-                    {"loads", mLoadsAsked},
-                    {"status", inStatus},
-                    {"outcome", inOutcome},
-                    {"reason", inReason},
-                    {"run", toString(mStatement)},
-                    {"estimate_ms", inMs(mChoice.estimate)},
-                    {"report_age_ms",
-                     target != nullptr && target->holderReportAt != core::time_point()
-                         ? inMs(now - target->holderReportAt)
-                         : -1},
-                    {"sent_ms", mSends > 0 ? inMs(mSentAt - mRequest.arrived) : -1},
-                    {"first_ms", mFirstByteAt ? inMs(*mFirstByteAt - mRequest.arrived) : -1},
-                    {"ms", inMs(now - mRequest.arrived)}});
-    const auto done = mDone;
-    done();
-}
-
 } // namespace corneltally::forwarding
--- /dev/null
+++ b/corneltally/forwarding/forward_run_adapter.cpp
@@ -0,0 +1,198 @@
+#include "corneltally/forwarding/forward_run.h"
+
+#include "corneltally/core/json_log.h"
+#include "corneltally/fleet/mesh_messages.h"
+#include "corneltally/forwarding/forward_context.h"
+#include "corneltally/kernel/event_loop.h"
+#include "corneltally/kernel/service_registry.h"
+#include "corneltally/orders/order_messages.h"
+
+#include <utility>
+
+namespace corneltally::forwarding {
+
+namespace {
+
+using milliseconds = std::chrono::milliseconds;
+
+/// Loads that one request may ask for before it is refused.
+constexpr int cMaxLoadsAsked = 2;
+/// An engine may refuse requests for an adapter for this long after its load should have ended.
+constexpr core::duration cLoadTolerance = milliseconds(600);
+
+long long inMs(core::duration inDuration)
+{
+    return std::chrono::duration_cast<milliseconds>(inDuration).count();
+}
+
+} // namespace
+
+/// Asks the holder of the engine for the adapter.
+void forward_run::orderAdapter()
+{
+    ++mLoadsAsked;
+    engines::endpoint &target = *mContext.book.find(mChoice.endpoint);
+    noteWaiting(target);
+    fleet::load_wanted wanted{.endpoint = mChoice.endpoint,
+                              .startedMs = mEndpointStart,
+                              .model = mWork.model,
+                              .adapter = mWork.adapter,
+                              .version = mWork.version,
+                              .tokens = mWork.promptTokens};
+    if (target.holder == mContext.instance)
+        mContext.registry.post("orders", orders::local_load_wanted{std::move(wanted)});
+    else
+        mContext.registry.post("mesh", fleet::mesh_send{target.holder, std::move(wanted)});
+}
+
+/// Counts the request among those that wait for a load at the endpoint.
+void forward_run::noteWaiting(engines::endpoint &ioTarget)
+{
+    if (mWaitingCounted)
+        return;
+    mWaitingCounted = true;
+    ++ioTarget.ownWaiting[engines::adapterKey(mWork.model, mWork.adapter)];
+}
+
+void forward_run::endWaiting()
+{
+    if (!mWaitingCounted)
+        return;
+    mWaitingCounted = false;
+    engines::endpoint *target = mContext.book.find(mChoice.endpoint);
+    if (target == nullptr || target->entry.startedMs != mEndpointStart)
+        return;
+    const auto found = target->ownWaiting.find(engines::adapterKey(mWork.model, mWork.adapter));
+    if (found != target->ownWaiting.end() && --found->second <= 0)
+        target->ownWaiting.erase(found);
+}
+
+bool forward_run::adapterThere() const
+{
+    const engines::endpoint *target = mContext.book.find(mChoice.endpoint);
+    const auto found
+        = target->adapters.resident.find(engines::adapterKey(mWork.model, mWork.adapter));
+    return found != target->adapters.resident.end() && found->second >= mWork.version;
+}
+
+/// Sends a waiting request if its adapter is there, or sets the time at which it should be.
+void forward_run::checkAdapter()
+{
+    const core::time_point now = core::boot_clock::now();
+    const engines::endpoint *target = mContext.book.find(mChoice.endpoint);
+    if (target == nullptr || target->entry.startedMs != mEndpointStart
+        || !mContext.book.usable(*target, now)) {
+        chooseAndSend();
+        return;
+    }
+    if (adapterThere()) {
+        send();
+        return;
+    }
+    const auto arriving
+        = target->adapters.arriving.find(engines::adapterKey(mWork.model, mWork.adapter));
+    mWake.cancel();
+    if (arriving != target->adapters.arriving.end())
+        endWaiting();
+    if (arriving == target->adapters.arriving.end() || arriving->second.version < mWork.version) {
+        mWake.startOnce(
+            std::max(core::duration::zero(), mWaitingSince + mContext.settings.loadPatience - now));
+    } else if (arriving->second.readyAt <= now) {
+        send();
+    } else {
+        mWake.startOnce(arriving->second.readyAt - now);
+    }
+}
+
+void forward_run::endpointChanged(std::string_view inEndpoint)
+{
+    if (waitsFor(inEndpoint))
+        checkAdapter();
+}
+
+void forward_run::woken()
+{
+    if (mState != state::waiting)
+        return;
+    const core::time_point now = core::boot_clock::now();
+    const engines::endpoint *target = mContext.book.find(mChoice.endpoint);
+    const std::string key = engines::adapterKey(mWork.model, mWork.adapter);
+    const bool expected = target != nullptr
+        && (target->adapters.arriving.contains(key) || adapterThere() || mLoadRetries > 0);
+    if (expected) {
+        if (mLoadRetries > 0)
+            send();
+        else
+            checkAdapter();
+        return;
+    }
+    if (now - mWaitingSince < mContext.settings.loadPatience) {
+        checkAdapter();
+        return;
+    }
+    core::logEvent(core::log_level::info, "load_not_begun",
+                   {{"request", mTerms.requestId},
+                    {"endpoint", mChoice.endpoint},
+                    {"adapter", mWork.adapter},
+                    {"waited_ms", inMs(now - mWaitingSince)}});
+    if (mLoadsAsked >= cMaxLoadsAsked) {
+        refuseBusy("the adapter could not be loaded in time");
+        return;
+    }
+    mWork.excluded.insert(mChoice.endpoint);
+    chooseAndSend();
+}
+
+/// Tells the holder of an engine whether requests of this instance run on the adapter.
+void forward_run::tellRunning(const engines::endpoint &inTarget, bool inRunning)
+{
+    fleet::adapter_running change{mChoice.endpoint, mEndpointStart,
+                                  engines::adapterKey(mWork.model, mWork.adapter), inRunning};
+    if (inTarget.holder == mContext.instance)
+        mContext.registry.post("orders", orders::local_adapter_running{std::move(change)});
+    else if (!inTarget.holder.empty())
+        mContext.registry.post("mesh", fleet::mesh_send{inTarget.holder, std::move(change)});
+}
+
+/// An engine that refuses for an adapter that is on its way, or that it lost, gets the request
+/// again once the adapter is there.
+bool forward_run::retryAfterLoad(std::string_view inReason)
+{
+    const core::time_point now = core::boot_clock::now();
+    engines::endpoint &target = *mContext.book.find(mChoice.endpoint);
+    const std::string key = engines::adapterKey(mWork.model, mWork.adapter);
+    const bool lost = mAnswer.otherEndpoint;
+    const bool young = mChoice.state != engines::endpoint_choice::readiness::ready
+        && now - mChoice.readyAt < cLoadTolerance;
+    if (!lost && !young && mLoadRetries == 0 && !target.adapters.arriving.contains(key))
+        return false;
+    if (mLoadRetries >= mContext.settings.maxLoadRetries || timeLeft() < cLeastAttemptTime
+        || !mContext.retries.tryRepeat(mService->name, now))
+        return false;
+    ++mLoadRetries;
+    mState = state::waiting;
+    mWaitingSince = now;
+    if (lost && !target.adapters.arriving.contains(key)) {
+        target.adapters.resident.erase(key);
+        const fleet::adapter_missing missing{mChoice.endpoint, mEndpointStart, key};
+        if (target.holder == mContext.instance)
+            mContext.registry.post("orders", orders::local_adapter_missing{missing});
+        else
+            mContext.registry.post("mesh", fleet::mesh_send{target.holder, missing});
+        if (!target.holderReady)
+            return false;
+        orderAdapter();
+        mWake.startOnce(mContext.settings.loadPatience);
+        return true;
+    }
+    core::logEvent(core::log_level::info, "attempt_deferred",
+                   {{"request", mTerms.requestId},
+                    {"endpoint", mChoice.endpoint},
+                    {"reason", inReason},
+                    {"retry", mLoadRetries}});
+    mWake.cancel();
+    mWake.startOnce(mContext.settings.loadRetryPause);
+    return true;
+}
+
+} // namespace corneltally::forwarding
--- /dev/null
+++ b/corneltally/forwarding/forward_run_answer.cpp
@@ -0,0 +1,247 @@
+#include "corneltally/forwarding/forward_run.h"
+
+#include "corneltally/core/digest.h"
+#include "corneltally/core/json_log.h"
+#include "corneltally/core/metrics.h"
+#include "corneltally/forwarding/forward_context.h"
+#include "platform/request_codec.h"
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+namespace corneltally::forwarding {
+
+namespace {
+
+using milliseconds = std::chrono::milliseconds;
+
+long long inMs(core::duration inDuration)
+{
+    return std::chrono::duration_cast<milliseconds>(inDuration).count();
+}
+
+std::string failureBody(int inStatus, std::string_view inReason, run_statement inStatement)
+{
+    const std::string_view remedy = inStatus == 401 ? "send a valid key"
+        : inStatus == 404                           ? "use the host and path of a route"
+        : inStatus == 429 || inStatus == 503        ? "come back after the time that is stated"
+                                                    : "find out whether it ran before repeating it";
+    std::string body = R"({"error":{"status":)" + std::to_string(inStatus);
+    body.append(R"(,"run":")").append(toString(inStatement));
+    body.append(R"(","message":")").append(core::jsonEscape(inReason));
+    body.append(R"(","remedy":")").append(remedy).append("\"}}\n");
+    return body;
+}
+
+std::optional<long long> eventNumber(std::string_view inId)
+{
+    long long number = 0;
+    const auto [end, problem] = std::from_chars(inId.data(), inId.data() + inId.size(), number);
+    if (problem != std::errc() || end != inId.data() + inId.size())
+        return std::nullopt;
+    return number;
+}
+
+} // namespace
+
+core::duration forward_run::retryAfter() const
+{
+    constexpr std::uint64_t cSteps = 1000;
+    const auto step = static_cast<long long>(core::stableHash(mTerms.requestId) % cSteps);
+    return mContext.settings.retryAfterLeast
+        + mContext.settings.retryAfterSpread * step / static_cast<long long>(cSteps);
+}
+
+void forward_run::headArrived(const http1::response_head &inHead)
+{
+    mHeadSeen = true;
+    mAnswer = platform::decodeAnswer(inHead);
+    const bool isEvents = http1::findField(inHead.fields, "Content-Type")
+                              .value_or("")
+                              .starts_with("text/event-stream");
+    mWholeAnswer
+        = !routing::isStream(mRoute->kind) || !isEvents || mAnswer.status != 200 || !mAnswer.sealed;
+    // A stream that goes on keeps the head of its first endpoint.
+    if (!mAnswerBegun)
+        mHead = inHead;
+}
+
+void forward_run::bodyArrived(std::string_view inData)
+{
+    if (mWholeAnswer) {
+        if (!mAnswerBegun)
+            mBody.append(inData);
+        return;
+    }
+    forwardEvents(inData);
+}
+
+void forward_run::beginAnswer(std::optional<std::uint64_t> inLength)
+{
+    mAnswerBegun = true;
+    mState = state::answering;
+    http1::response_head head = mHead;
+    http1::removeConnectionFields(head.fields);
+    mCaller.startResponse(std::move(head), inLength);
+}
+
+void forward_run::forwardEvents(std::string_view inData)
+{
+    std::string bytes;
+    for (event_splitter::event &event : mSplitter.feed(inData)) {
+        const auto last = eventNumber(mLastEventId);
+        const auto number = eventNumber(event.id);
+        // A stream that goes on must not repeat what the caller has.
+        if (mSends > 1 && last && number && *number <= *last)
+            continue;
+        if (!event.id.empty())
+            mLastEventId = event.id;
+        bytes.append(event.bytes);
+    }
+    if (bytes.empty())
+        return;
+    firstEventSeen();
+    if (!mAnswerBegun)
+        beginAnswer(std::nullopt);
+    mCaller.sendBody(bytes);
+    if (!mUpstreamPaused && mCaller.unsentBytes() > mContext.settings.backlogBytes) {
+        mUpstreamPaused = true;
+        mUpstream->setReading(false);
+    }
+}
+
+void forward_run::callerDrained()
+{
+    if (!mUpstreamPaused || !mUpstream)
+        return;
+    mUpstreamPaused = false;
+    mUpstream->setReading(true);
+}
+
+void forward_run::answerComplete()
+{
+    const core::time_point now = core::boot_clock::now();
+    firstEventSeen();
+    engines::endpoint *target = mContext.book.find(mChoice.endpoint);
+    if (target != nullptr && target->entry.startedMs == mEndpointStart)
+        target->health.succeeded(*mFirstByteAt - mSentAt, now);
+    endLoad();
+    mStatement = run_statement::ran;
+    if (mWholeAnswer) {
+        beginAnswer(mBody.size());
+        mCaller.sendBody(mBody);
+    } else {
+        if (!mAnswerBegun)
+            beginAnswer(std::nullopt);
+        mCaller.sendBody(mSplitter.rest());
+    }
+    mState = state::done;
+    finish(mHead.status, "served", "complete");
+    mCaller.endResponse();
+}
+
+/// Passes the answer of an endpoint on that has failed.
+void forward_run::passFailure()
+{
+    if (mAnswerBegun) {
+        breakOff("the endpoint failed");
+        return;
+    }
+    endLoad();
+    mStatement = run_statement::ran;
+    const int status = mAnswer.status;
+    // These statuses promise that the request has not run, which the endpoint did not state.
+    if (status == 408 || status == 429 || status == 503) {
+        answerUnknown("the endpoint gave no clear answer");
+        return;
+    }
+    beginAnswer(mBody.size());
+    mCaller.sendBody(mBody);
+    mState = state::done;
+    finish(status, "failure_passed", "the endpoint failed");
+    mCaller.endResponse();
+}
+
+/// Ends an answer that was begun and can't be completed, so that the caller sees that it is cut.
+void forward_run::breakOff(std::string_view inReason)
+{
+    dropAttempt();
+    finish(mHead.status, "broken_off", inReason);
+    mCaller.abort();
+}
+
+void forward_run::refuse(int inStatus, std::string_view inReason,
+                         std::optional<core::duration> inRetryAfter)
+{
+    if (mAnswerBegun) {
+        breakOff(inReason);
+        return;
+    }
+    if (mCharged > 0 && mStatement == run_statement::not_run)
+        mContext.allowance.giveBack(mAccount, mCharged);
+    mState = state::done;
+    std::optional<milliseconds> wait;
+    if (inRetryAfter)
+        wait = std::chrono::duration_cast<milliseconds>(*inRetryAfter);
+    finish(inStatus, "refused", inReason);
+    mCaller.respond(platform::encodeOwnAnswer(inStatus, mTerms.requestId, wait),
+                    failureBody(inStatus, inReason, mStatement));
+}
+
+void forward_run::refuseBusy(std::string_view inReason)
+{
+    refuse(503, inReason, retryAfter());
+}
+
+void forward_run::answerUnknown(std::string_view inReason)
+{
+    if (mAnswerBegun) {
+        breakOff(inReason);
+        return;
+    }
+    const int status = timeLeft() <= core::duration::zero() ? 504 : 502;
+    mState = state::done;
+    finish(status, "unknown", inReason);
+    mCaller.respond(platform::encodeOwnAnswer(status, mTerms.requestId, std::nullopt),
+                    failureBody(status, inReason, mStatement));
+}
+
+void forward_run::finish(int inStatus, std::string_view inOutcome, std::string_view inReason)
+{
+    const core::time_point now = core::boot_clock::now();
+    mState = state::done;
+    endWaiting();
+    mDeadline.cancel();
+    mWake.cancel();
+    mContext.metrics.count("requests_total{outcome=\"" + std::string(inOutcome) + "\"}");
+    mContext.metrics.observe("request_seconds", now - mRequest.arrived);
+    if (mFirstByteAt)
+        mContext.metrics.observe("first_byte_seconds", *mFirstByteAt - mRequest.arrived);
+    const engines::endpoint *target = mContext.book.find(mChoice.endpoint);
+    core::logEvent(core::log_level::info, "request",
+                   {{"request", mTerms.requestId},
+                    {"route", mRoute != nullptr ? mRoute->name : std::string()},
+                    {"account", mAccount},
+                    {"configuration", mTable ? mTable->version() : 0},
+                    {"endpoint", mChoice.endpoint},
+                    {"adapter", mWork.adapter},
+                    {"sends", mSends},
+                    {"loads", mLoadsAsked},
+                    {"status", inStatus},
+                    {"outcome", inOutcome},
+                    {"reason", inReason},
+                    {"run", toString(mStatement)},
+                    {"estimate_ms", inMs(mChoice.estimate)},
+                    {"report_age_ms",
+                     target != nullptr && target->holderReportAt != core::time_point()
+                         ? inMs(now - target->holderReportAt)
+                         : -1},
+                    {"sent_ms", mSends > 0 ? inMs(mSentAt - mRequest.arrived) : -1},
+                    {"first_ms", mFirstByteAt ? inMs(*mFirstByteAt - mRequest.arrived) : -1},
+                    {"ms", inMs(now - mRequest.arrived)}});
+    const auto done = mDone;
+    done();
+}
+
+} // namespace corneltally::forwarding
