--- a/corneltally/engines/endpoint_book.cpp
+++ b/corneltally/engines/endpoint_book.cpp
@@ -115,7 +115,8 @@
 {
     const auto &adapters = inEndpoint.adapters;
     int open = inPlaces - static_cast<int>(adapters.resident.size() + adapters.arriving.size());
-    for (const auto &[adapter, version] : adapters.resident) {
+    for (const auto &entry : adapters.resident) {
+        const std::string &adapter = entry.first;
         const bool isRunning
             = inEndpoint.ownRunning.contains(adapter)
             || std::ranges::any_of(mPeers, [&](const auto &inPeer) {
--- a/corneltally/forwarding/forward_run_answer.cpp
+++ b/corneltally/forwarding/forward_run_answer.cpp
@@ -200,7 +200,8 @@
         breakOff(inReason);
         return;
     }
-    const int status = timeLeft() <= core::duration::zero() ? 504 : 502;
+    // A timer may fire a little before its time.
+    const int status = timeLeft() < cLeastAttemptTime ? 504 : 502;
     mState = state::done;
     finish(status, "unknown", inReason);
     mCaller.respond(platform::encodeOwnAnswer(status, mTerms.requestId, std::nullopt),
--- a/tests/unit/forwarding_front_test.cpp
+++ b/tests/unit/forwarding_front_test.cpp
@@ -222,11 +222,11 @@
                  }});
     }
 
-    caller_view call(const std::string &inPath = "/a/1", http1::header_fields inMore = {})
+    caller_view call(const std::string &inPath = "/a/1", const http1::header_fields &inMore = {})
     {
         const auto caller = connect();
         caller_view view;
-        send(*caller, view, inPath, std::move(inMore));
+        send(*caller, view, inPath, inMore);
         loop.run();
         return view;
     }
@@ -440,6 +440,28 @@
     CHECK(view.end.outcome == kind::broken);
 }
 
+TEST_CASE("a stream whose adapter no other engine loads is cut, not refused in its middle")
+{
+    front_fixture fixture;
+    fixture.configure(repetition::resumable_stream, 3, 4s);
+    fixture.engineState({{{"base/a1", 1}}, {}});
+    for (const std::string id : {"m2", "m3"}) {
+        fixture.announce(id, "models", fixture.second);
+        fixture.registry.broadcast(orders::held_engine_changed{
+            {.endpoint = id, .startedMs = 1, .ready = true, .models = {"base"}}});
+    }
+    fixture.settle(50ms);
+    fixture.first.script = {{cStreamHead + chunk("id: 1\ndata: a\n\n"), true}};
+    const caller_view view
+        = fixture.call("/lm/1", {{std::string(platform::cModelField), "base/a1"}});
+    CHECK(fixture.wanted.contains("m2"));
+    CHECK(fixture.wanted.contains("m3"));
+    CHECK(view.body == "id: 1\ndata: a\n\n");
+    CHECK(view.end.outcome == kind::broken);
+    // An answer in the middle of the chunks would be "not an answer".
+    CHECK(view.end.reason == "the connection was closed");
+}
+
 TEST_CASE("a request waits for its adapter's load and is sent when it is there")
 {
     front_fixture fixture;
