--- a/corneltally/fleet/fleet_records.cpp
+++ b/corneltally/fleet/fleet_records.cpp
@@ -41,7 +41,7 @@
     return {.key = keyOf(cMemberPrefix, inMember.instance), .value = value.dump()};
 }
 
-store::record claimRecord(const std::string &inEngine, const orders::claim &inClaim)
+store::record claimRecord(const std::string &inEngine, const claim &inClaim)
 {
     const json value{{"instance", inClaim.instance},
                      {"machine", inClaim.machine},
@@ -80,14 +80,13 @@
         value.value("failure_domain", std::string()), value.value("incarnation", std::uint64_t{0})};
 }
 
-std::optional<orders::claim> decodeClaim(const store::record &inRecord)
+std::optional<claim> decodeClaim(const store::record &inRecord)
 {
     const json value = parseValue(inRecord);
     if (!claimedEngine(inRecord) || !value.is_object())
         return std::nullopt;
-    return orders::claim{value.value("instance", std::string()),
-                         value.value("machine", std::string()),
-                         value.value("incarnation", std::uint64_t{0}), inRecord.offset + 1};
+    return claim{value.value("instance", std::string()), value.value("machine", std::string()),
+                 value.value("incarnation", std::uint64_t{0}), inRecord.offset + 1};
 }
 
 } // namespace corneltally::fleet
--- a/corneltally/fleet/fleet_records.h
+++ b/corneltally/fleet/fleet_records.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "corneltally/orders/holder_claims.h"
+#include "corneltally/fleet/holder_claims.h"
 #include "corneltally/store/record.h"
 
 #include <cstdint>
@@ -27,7 +27,7 @@
 };
 
 store::record memberRecord(const member &inMember);
-store::record claimRecord(const std::string &inEngine, const orders::claim &inClaim);
+store::record claimRecord(const std::string &inEngine, const claim &inClaim);
 
 /// Records without a value; they remove the key.
 store::record removedMember(const std::string &inInstance);
@@ -40,6 +40,6 @@
 /// Contents of a record; nothing if it has none or is damaged. The fence of a claim is its place in
 /// the topic.
 std::optional<member> decodeMember(const store::record &inRecord);
-std::optional<orders::claim> decodeClaim(const store::record &inRecord);
+std::optional<claim> decodeClaim(const store::record &inRecord);
 
 } // namespace corneltally::fleet
--- a/corneltally/orders/holder_claims.cpp
+++ b/corneltally/fleet/holder_claims.cpp
@@ -1,10 +1,10 @@
-#include "corneltally/orders/holder_claims.h"
+#include "corneltally/fleet/holder_claims.h"
 
 #include "corneltally/core/digest.h"
 
 #include <algorithm>
 
-namespace corneltally::orders {
+namespace corneltally::fleet {
 
 void holder_claims::read(const std::string &inEngine, std::optional<claim> inClaim,
                          core::time_point inNow)
@@ -141,4 +141,4 @@
     return names;
 }
 
-} // namespace corneltally::orders
+} // namespace corneltally::fleet
--- a/corneltally/orders/holder_claims.h
+++ b/corneltally/fleet/holder_claims.h
@@ -11,7 +11,7 @@
 #include <utility>
 #include <vector>
 
-namespace corneltally::orders {
+namespace corneltally::fleet {
 
 /// Constants of claims on engines.
 struct claim_settings
@@ -141,4 +141,4 @@
     std::optional<core::time_point> mFirstConfirmed;
 };
 
-} // namespace corneltally::orders
+} // namespace corneltally::fleet
--- a/corneltally/orders/order_service.cpp
+++ b/corneltally/orders/order_service.cpp
@@ -83,7 +83,7 @@
         cName, [this](const catalog::endpoints_listed &inListed) {
             if (inListed.mayReturn)
                 return;
-            for (const located &engine : knownEngines()) {
+            for (const fleet::located &engine : knownEngines()) {
                 if (std::ranges::find(inListed.ids, engine.name) == inListed.ids.end())
                     endpointGone(engine.name);
             }
@@ -182,9 +182,9 @@
     return service != nullptr && service->engine ? &*service->engine : nullptr;
 }
 
-std::vector<located> order_service::knownEngines() const
+std::vector<fleet::located> order_service::knownEngines() const
 {
-    std::vector<located> engines;
+    std::vector<fleet::located> engines;
     for (const auto &[id, entry] : mEntries) {
         if (profileOf(entry) != nullptr)
             engines.push_back({id, entry.failureDomain});
@@ -235,7 +235,7 @@
 {
     if (mAppendUnderWay || !mTopicLoaded || inNow < mClaimNotBefore)
         return;
-    const std::vector<located> existing = knownEngines();
+    const std::vector<fleet::located> existing = knownEngines();
     std::vector<store::record> records;
     for (const std::string &engine : mClaims.wanted(existing, mLive, inNow))
         records.push_back(fleet::claimRecord(engine, mOptions.self));
--- a/corneltally/orders/order_service.h
+++ b/corneltally/orders/order_service.h
@@ -1,12 +1,12 @@
 #pragma once
 
 #include "corneltally/catalog/catalog_messages.h"
+#include "corneltally/fleet/holder_claims.h"
 #include "corneltally/fleet/mesh_messages.h"
 #include "corneltally/http1/fetcher.h"
 #include "corneltally/kernel/service.h"
 #include "corneltally/kernel/timer.h"
 #include "corneltally/orders/engine_keeper.h"
-#include "corneltally/orders/holder_claims.h"
 #include "corneltally/orders/order_messages.h"
 
 #include <map>
@@ -29,9 +29,9 @@
 struct order_options
 {
     /// This instance; the fence is set with each claim.
-    claim self;
+    fleet::claim self;
     std::string failureDomain;
-    claim_settings claims;
+    fleet::claim_settings claims;
     keeper_settings keeper;
 };
 
@@ -78,7 +78,7 @@
                     engines::order_outcome inOutcome, core::time_point inSentAt);
     void askReport(const std::string &inEngine, held &ioHeld, core::time_point inNow);
     void publish(const std::string &inEngine, held &ioHeld, core::time_point inNow);
-    std::vector<located> knownEngines() const;
+    std::vector<fleet::located> knownEngines() const;
     const routing::engine_profile *profileOf(const engines::endpoint_entry &inEntry) const;
 
     kernel::service_registry &mRegistry;
@@ -86,12 +86,12 @@
     order_options mOptions;
     http1::fetcher mFetcher;
     kernel::timer mTimer;
-    holder_claims mClaims;
+    fleet::holder_claims mClaims;
     std::shared_ptr<const routing::routing_table> mTable;
     std::map<std::string, engines::endpoint_entry> mEntries;
     std::map<std::string, held> mHeld;
     std::map<std::string, std::uint64_t> mNamedVersions;
-    std::vector<located> mLive;
+    std::vector<fleet::located> mLive;
     /// Adapters on their way to the engines that other instances hold, by engine.
     std::map<std::string, engines::residency> mElsewhere;
     std::uint64_t mTopicEnd = 0;
--- a/tests/unit/fleet_codec_test.cpp
+++ b/tests/unit/fleet_codec_test.cpp
@@ -63,7 +63,7 @@
     store::record record = fleet::claimRecord("e1", {"a", "10.0.0.1", 7, 0});
     record.offset = 41;
     CHECK(fleet::claimedEngine(record) == "e1");
-    CHECK(fleet::decodeClaim(record) == orders::claim{"a", "10.0.0.1", 7, 42});
+    CHECK(fleet::decodeClaim(record) == fleet::claim{"a", "10.0.0.1", 7, 42});
     CHECK_FALSE(fleet::decodeClaim(fleet::removedClaim("e1")));
     record.value = "not json";
     CHECK_FALSE(fleet::decodeClaim(record));
--- a/tests/unit/orders_holder_claims_test.cpp
+++ b/tests/unit/fleet_holder_claims_test.cpp
@@ -1,7 +1,7 @@
 // Guards against two instances that give orders to one engine at the same time, and against engines
 // that nobody may give orders to.
 
-#include "corneltally/orders/holder_claims.h"
+#include "corneltally/fleet/holder_claims.h"
 
 #include <set>
 
@@ -9,13 +9,13 @@
 
 using namespace corneltally;
 using namespace std::chrono_literals;
-using orders::claim;
+using fleet::claim;
 
 namespace {
 
 const core::time_point cStart{1h};
 const claim cSelf{"a", "10.0.0.1", 7, 0};
-const std::vector<orders::located> cEngine{{"e1", "north"}};
+const std::vector<fleet::located> cEngine{{"e1", "north"}};
 
 claim claimOf(const std::string &inInstance, const std::string &inMachine,
               std::uint64_t inIncarnation, std::uint64_t inFence)
@@ -27,7 +27,7 @@
 
 TEST_CASE("a free engine may be ordered at once, and only by its claimant")
 {
-    orders::holder_claims claims({}, cSelf, "north");
+    fleet::holder_claims claims({}, cSelf, "north");
     claims.confirmed(cStart);
     // The instances have to know each other first.
     CHECK(claims.wanted(cEngine, {}, cStart).empty());
@@ -41,11 +41,11 @@
 
 TEST_CASE("a holder whose last look at the claims is old may not order")
 {
-    orders::holder_claims claims({}, cSelf, "north");
+    fleet::holder_claims claims({}, cSelf, "north");
     claims.confirmed(cStart);
     claims.read("e1", claimOf("a", "10.0.0.1", 7, 5), cStart);
     claims.setMembers({"b"});
-    const core::duration limit = orders::claim_settings().lookAge;
+    const core::duration limit = fleet::claim_settings().lookAge;
     CHECK(claims.mayOrder("e1", cStart + limit - 100ms));
     CHECK_FALSE(claims.mayOrder("e1", cStart + limit));
     claims.confirmed(cStart + 5s);
@@ -56,8 +56,8 @@
 
 TEST_CASE("a successor waits until its predecessor can't order any more, and the operator's pause")
 {
-    const orders::claim_settings settings;
-    orders::holder_claims claims(settings, cSelf, "north");
+    const fleet::claim_settings settings;
+    fleet::holder_claims claims(settings, cSelf, "north");
     claims.read("e1", claimOf("b", "10.0.0.2", 1, 5), cStart);
     claims.confirmed(cStart);
     const core::time_point taken = cStart + 10s;
@@ -74,8 +74,8 @@
 
 TEST_CASE("a holder that all others hear goes on without the store for a while")
 {
-    const orders::claim_settings settings;
-    orders::holder_claims claims(settings, cSelf, "north");
+    const fleet::claim_settings settings;
+    fleet::holder_claims claims(settings, cSelf, "north");
     claims.confirmed(cStart);
     claims.read("e1", claimOf("a", "10.0.0.1", 7, 5), cStart);
     claims.setMembers({"b", "c"});
@@ -98,7 +98,7 @@
 
 TEST_CASE("the wait survives a new start of the same machine")
 {
-    orders::holder_claims claims({}, cSelf, "north");
+    fleet::holder_claims claims({}, cSelf, "north");
     claims.read("e1", claimOf("b", "10.0.0.2", 1, 5), cStart);
     claims.read("e1", claimOf("a", "10.0.0.1", 6, 6), cStart);
     claims.read("e1", claimOf("a", "10.0.0.1", 7, 7), cStart + 1s);
@@ -108,7 +108,7 @@
 
 TEST_CASE("a machine takes its own engines back at once after a new start")
 {
-    orders::holder_claims claims({}, cSelf, "north");
+    fleet::holder_claims claims({}, cSelf, "north");
     claims.read("e1", claimOf("a", "10.0.0.1", 6, 5), cStart);
     claims.confirmed(cStart);
     CHECK_FALSE(claims.mayOrder("e1", cStart));
@@ -119,8 +119,8 @@
 
 TEST_CASE("engines of another instance are claimed only after it was silent, by one instance")
 {
-    const orders::claim_settings settings;
-    orders::holder_claims claims(settings, cSelf, "north");
+    const fleet::claim_settings settings;
+    fleet::holder_claims claims(settings, cSelf, "north");
     claims.read("e1", claimOf("b", "10.0.0.2", 1, 5), cStart);
     claims.confirmed(cStart);
     claims.recorded(cStart);
@@ -130,7 +130,7 @@
     claims.confirmed(cStart + 7s);
     CHECK(claims.wanted(cEngine, {}, cStart + 7s) == std::vector<std::string>{"e1"});
     // Of two live instances one is preferred for each engine.
-    orders::holder_claims other(settings, {"c", "10.0.0.3", 1, 0}, "north");
+    fleet::holder_claims other(settings, {"c", "10.0.0.3", 1, 0}, "north");
     other.read("e1", claimOf("b", "10.0.0.2", 1, 5), cStart);
     other.confirmed(cStart);
     other.recorded(cStart);
@@ -147,8 +147,8 @@
 TEST_CASE(
     "an instance whose record was removed claims nothing before the others can know of it again")
 {
-    const orders::claim_settings settings;
-    orders::holder_claims claims(settings, cSelf, "north");
+    const fleet::claim_settings settings;
+    fleet::holder_claims claims(settings, cSelf, "north");
     claims.read("e1", claimOf("b", "10.0.0.2", 1, 5), cStart);
     claims.confirmed(cStart);
     const core::time_point later = cStart + 20s;
@@ -162,7 +162,7 @@
 
 TEST_CASE("an older record never replaces a newer claim")
 {
-    orders::holder_claims claims({}, cSelf, "north");
+    fleet::holder_claims claims({}, cSelf, "north");
     claims.read("e1", claimOf("b", "10.0.0.2", 1, 9), cStart);
     claims.read("e1", claimOf("a", "10.0.0.1", 7, 5), cStart);
     CHECK(claims.find("e1")->instance == "b");
