--- a/corneltally/http/client.cpp
+++ b/corneltally/http/client.cpp
@@ -100,7 +100,8 @@
         evhttp_request_set_chunked_cb(ioCall.wireRequest, &sData);
         evhttp_request_set_error_cb(ioCall.wireRequest, &sError);
         evkeyvalq *headers = evhttp_request_get_output_headers(ioCall.wireRequest);
-        evhttp_add_header(headers, "Host", ioCall.request.target.toString().c_str());
+        if (findHeader(ioCall.request.headers, "Host").empty())
+            evhttp_add_header(headers, "Host", ioCall.request.target.toString().c_str());
         for (const auto &[name, value] : ioCall.request.headers)
             evhttp_add_header(headers, name.c_str(), value.c_str());
         if (!ioCall.request.body.empty()) {
--- a/standins/child_process.cpp
+++ b/standins/child_process.cpp
@@ -83,23 +83,43 @@
 {
     const auto deadline = steady::now() + inLimit;
     std::array<char, 4096> buffer{};
-    while (mReadyLine.find('\n') == std::string::npos) {
+    while (!parseReadyLine()) {
         pollfd wanted{.fd = mOutput, .events = POLLIN, .revents = 0};
         if (poll(&wanted, 1, millisecondsUntil(deadline)) <= 0)
             return false;
         const ssize_t count = read(mOutput, buffer.data(), buffer.size());
-        if (count <= 0)
+        if (count > 0)
+            mReadyLine.append(buffer.data(), static_cast<std::size_t>(count));
+        else if (mOptions.outputFile.empty() || !isRunning() || steady::now() >= deadline)
             return false;
-        mReadyLine.append(buffer.data(), static_cast<std::size_t>(count));
+        else
+            std::this_thread::sleep_for(cPollInterval);
     }
-    const nlohmann::json line
-        = nlohmann::json::parse(mReadyLine.substr(0, mReadyLine.find('\n')), nullptr, false);
-    if (!line.is_object() || !line.value("ready", false))
-        return false;
-    mPorts = line.value("ports", std::map<std::string, unsigned short>());
     return true;
 }
 
+/// Looks for the line of a stand-in or of an instance that says which ports it has.
+bool child_process::parseReadyLine()
+{
+    for (std::size_t start = 0, end = 0; (end = mReadyLine.find('\n', start)) != std::string::npos;
+         start = end + 1) {
+        const nlohmann::json line
+            = nlohmann::json::parse(mReadyLine.substr(start, end - start), nullptr, false);
+        if (!line.is_object())
+            continue;
+        if (line.value("ready", false)) {
+            mPorts = line.value("ports", std::map<std::string, unsigned short>());
+            return true;
+        }
+        if (line.value("event", "") == "started") {
+            for (const char *name : {"callers", "operators", "peers"})
+                mPorts[name] = line.value(name, static_cast<unsigned short>(0));
+            return true;
+        }
+    }
+    return false;
+}
+
 std::string child_process::readOutput(std::chrono::milliseconds inLimit)
 {
     const auto deadline = steady::now() + inLimit;
@@ -208,7 +228,7 @@
     const char *logFile = mOptions.logFile.empty() ? "/dev/null" : mOptions.logFile.c_str();
     const int log = open(logFile, O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
     std::array<int, 2> output{-1, -1};
-    if (log < 0 || pipe2(output.data(), O_CLOEXEC) != 0) {
+    if (log < 0 || !openOutput(output)) {
         std::perror(logFile);
         return;
     }
@@ -221,6 +241,18 @@
     mOutput = output[0];
 }
 
+/// Opens the end that the parent reads and the one that the child writes.
+bool child_process::openOutput(std::array<int, 2> &outEnds) const
+{
+    if (mOptions.outputFile.empty())
+        return pipe2(outEnds.data(), O_CLOEXEC) == 0;
+    const char *file = mOptions.outputFile.c_str();
+    outEnds[1] = open(file, O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
+    outEnds[0] = open(file, O_RDONLY | O_CLOEXEC);
+    // Lines of an earlier process in the same file are passed over.
+    return outEnds[1] >= 0 && outEnds[0] >= 0 && lseek(outEnds[0], 0, SEEK_END) >= 0;
+}
+
 void child_process::reap(int inStatus)
 {
     mPid = -1;
--- a/standins/child_process.h
+++ b/standins/child_process.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <chrono>
 #include <map>
 #include <optional>
@@ -21,6 +22,8 @@
         std::vector<std::string> arguments;
         /// File for standard error; empty discards it.
         std::string logFile;
+        /// File for standard output, for programs that log there; empty means a pipe.
+        std::string outputFile = {};
     };
 
     /// Starts the program; it is not ready yet.
@@ -64,6 +67,8 @@
 
 private:
     void start();
+    bool openOutput(std::array<int, 2> &outEnds) const;
+    bool parseReadyLine();
     void reap(int inStatus);
     void closeOutput();
 
--- a/standins/host.cpp
+++ b/standins/host.cpp
@@ -47,6 +47,12 @@
     return true;
 }
 
+unsigned short host::port(const std::string &inName) const
+{
+    const auto found = mPorts.find(inName);
+    return found == mPorts.end() ? 0 : found->second;
+}
+
 void host::announcePort(const std::string &inName, unsigned short inPort)
 {
     mPorts[inName] = inPort;
--- a/standins/host.h
+++ b/standins/host.h
@@ -43,6 +43,9 @@
     /// Binds the HTTP server; port 0 lets the kernel choose.
     bool listen(corneltally::http::server::handler inHandler);
 
+    /// A port of the ready line; 0 if there is none of that name.
+    unsigned short port(const std::string &inName) const;
+
     /// Adds a port to the ready line.
     void announcePort(const std::string &inName, unsigned short inPort);
 
--- /dev/null
+++ b/tests/integration/site_forwarding_test.cpp
@@ -0,0 +1,486 @@
+// Guards the way of a request through real forwarding instances that speak the published protocol
+// with a store and endpoints in other processes: one case for each promise to callers, with a fault
+// that would break it.
+
+#include "platform/names.h"
+#include "standins/site.h"
+
+#include <algorithm>
+#include <atomic>
+#include <csignal>
+#include <fstream>
+#include <functional>
+#include <map>
+#include <set>
+#include <sstream>
+#include <thread>
+
+#include <arpa/inet.h>
+#include <catch2/catch.hpp>
+#include <sys/socket.h>
+#include <unistd.h>
+
+using namespace std::chrono_literals;
+namespace http = corneltally::http;
+namespace platform = corneltally::platform;
+using nlohmann::json;
+using standins::site;
+
+namespace {
+
+/// A request of a caller; the defaults make a proper one.
+struct caller_request
+{
+    std::string path = "/look/1";
+    std::string id;
+    std::string key = "key-harbour";
+    std::string adapter;
+    int deadlineMs = 5000;
+    std::string instance = "edge-1";
+    std::chrono::milliseconds patience = 20s;
+};
+
+struct site_fixture
+{
+    site fleet;
+    int requests = 0;
+
+    explicit site_fixture(standins::site_options inOptions = {})
+        : fleet(withFolders(std::move(inOptions)))
+    {
+        REQUIRE(fleet.start());
+    }
+
+    static standins::site_options withFolders(standins::site_options inOptions)
+    {
+        static int sCount = 0;
+        inOptions.binaries = CORNELTALLY_BINARY_DIR;
+        inOptions.folder = std::string(CORNELTALLY_BINARY_DIR) + "/site_forwarding_test."
+            + std::to_string(++sCount);
+        return inOptions;
+    }
+
+    http::call_request makeCall(caller_request inRequest)
+    {
+        if (inRequest.id.empty())
+            inRequest.id = "request-" + std::to_string(++requests);
+        http::call_request call{.target
+                                = {"127.0.0.1", fleet.process(inRequest.instance).port("callers")},
+                                .method = "POST",
+                                .path = inRequest.path,
+                                .body = "body of " + inRequest.id,
+                                .timeout = inRequest.patience};
+        call.headers
+            = {{"Host", site::cHost},
+               {std::string(platform::cRequestIdField), inRequest.id},
+               {std::string(platform::cAuthorizationField),
+                std::string(platform::cAuthorizationScheme) + inRequest.key},
+               {std::string(platform::cTenantField), "forged"},
+               {std::string(platform::cDeadlineField), std::to_string(inRequest.deadlineMs)}};
+        if (!inRequest.adapter.empty()) {
+            call.headers.emplace_back(std::string(platform::cModelField),
+                                      std::string(site::cModel) + "/" + inRequest.adapter);
+            call.headers.emplace_back(std::string(platform::cTokenCountField), "100,20");
+        }
+        return call;
+    }
+
+    http::response call(caller_request inRequest = {})
+    {
+        return fleet.probe().call(makeCall(std::move(inRequest)));
+    }
+
+    std::vector<json> runsOf(const std::string &inId) const
+    {
+        std::vector<json> runs = fleet.facts("run");
+        std::erase_if(runs, [&](const json &inRun) { return inRun.at("request") != inId; });
+        return runs;
+    }
+
+    void faultOnAll(const std::string &inPrefix, const json &inFaults)
+    {
+        for (const std::string &name : fleet.names(inPrefix))
+            REQUIRE(fleet.setFaults(name, inFaults));
+    }
+};
+
+std::string wholeStream(const std::string &inId, int inEvents = 6)
+{
+    std::string text;
+    for (int event = 1; event <= inEvents; ++event)
+        text += "id: " + std::to_string(event) + "\ndata: " + inId + " " + std::to_string(event)
+            + "/" + std::to_string(inEvents) + "\n\n";
+    return text;
+}
+
+/// Sends a request and closes the connection without reading the answer once a condition holds.
+void callAndLeave(const http::call_request &inCall, const std::function<bool()> &inCondition)
+{
+    std::string text = inCall.method + " " + inCall.path + " HTTP/1.1\r\n";
+    for (const auto &[name, value] : inCall.headers)
+        text += name + ": " + value + "\r\n";
+    text += "Content-Length: " + std::to_string(inCall.body.size()) + "\r\n\r\n" + inCall.body;
+    const int caller = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in target{.sin_family = AF_INET, .sin_port = htons(inCall.target.port)};
+    target.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    REQUIRE(connect(caller, reinterpret_cast<const sockaddr *>(&target), sizeof target) == 0);
+    REQUIRE(write(caller, text.data(), text.size()) == std::ssize(text));
+    CHECK(site::waitFor(inCondition));
+    close(caller);
+}
+
+bool promisesNotRun(int inStatus)
+{
+    return inStatus == 429 || inStatus == 503;
+}
+
+} // namespace
+
+TEST_CASE("a request reaches an endpoint of its route unchanged, under its account's name alone")
+{
+    site_fixture fixture;
+    const http::response answer = fixture.call({.path = "/look/a/b", .id = "r1"});
+    CHECK(answer.status == 200);
+    CHECK(answer.body == "ran r1");
+    CHECK_FALSE(http::findHeader(answer.headers, platform::cSealField).empty());
+    const auto runs = fixture.runsOf("r1");
+    REQUIRE(runs.size() == 1);
+    CHECK(runs[0].at("path") == "/look/a/b");
+    CHECK(runs[0].at("body") == "body of r1");
+    CHECK(runs[0].at("account") == "harbour");
+    CHECK(runs[0].at("saw_key") == false);
+    CHECK(std::stoi(runs[0].at("deadline").get<std::string>()) <= 5000);
+    CHECK(fixture.call({.path = "/nowhere/1"}).status == 404);
+    CHECK(fixture.call({.key = "key-unknown"}).status == 401);
+}
+
+TEST_CASE("the longest prefix wins and a change of the configuration is in force within its bound")
+{
+    site_fixture fixture;
+    json deeper = fixture.fleet.configuration().at("routes").at(0);
+    deeper["name"] = "deeper";
+    deeper["path-prefix"] = "/look/deep/";
+    deeper["service"] = "models";
+    fixture.fleet.configuration()["routes"].push_back(deeper);
+    REQUIRE(fixture.fleet.publish());
+    for (const std::string &name : fixture.fleet.names("edge-")) {
+        CHECK(site::waitFor(
+            [&] {
+                return fixture.call({.path = "/look/deep/1", .instance = name}).body.find("data:")
+                    != std::string::npos;
+            },
+            2s));
+    }
+    CHECK(fixture.call({.path = "/look/1"}).body.starts_with("ran "));
+}
+
+TEST_CASE("a withdrawn key is refused within its bound, also where the store is out of reach")
+{
+    site_fixture fixture({.proxied = true});
+    REQUIRE(fixture.call({.instance = "edge-2"}).status == 200);
+    REQUIRE(fixture.fleet.linkFault({"edge-2>store"}, "freeze"));
+    fixture.fleet.configuration()["tenants"][0]["api-keys"] = {"key-new"};
+    REQUIRE(fixture.fleet.publish());
+    for (const std::string &name : fixture.fleet.names("edge-")) {
+        CHECK(site::waitFor([&] { return fixture.call({.instance = name}).status == 401; }, 3s));
+        CHECK(fixture.call({.key = "key-new", .instance = name}).status == 200);
+    }
+}
+
+TEST_CASE("an order whose answer was lost runs once and is answered as unknown")
+{
+    site_fixture fixture;
+    fixture.faultOnAll("app-", {{"lose", 1}});
+    CHECK(fixture.call({.path = "/order/1", .id = "o1"}).status == 502);
+    CHECK(fixture.runsOf("o1").size() == 1);
+}
+
+TEST_CASE("a repeatable request whose answer was lost, failed or was cut runs at another endpoint")
+{
+    site_fixture fixture;
+    const std::string fault = GENERATE("lose", "fail", "cut");
+    CAPTURE(fault);
+    REQUIRE(fixture.fleet.setFaults("app-1", {{fault, 1}}));
+    const http::response answer = fixture.call({.id = "l1"});
+    CHECK(answer.status == 200);
+    CHECK(answer.body == "ran l1");
+    CHECK(fixture.runsOf("l1").size() == 2);
+}
+
+TEST_CASE("a failure of an endpoint on an order is passed on with its seal")
+{
+    site_fixture fixture;
+    fixture.faultOnAll("app-", {{"fail", 1}});
+    const http::response answer = fixture.call({.path = "/order/1", .id = "o1"});
+    CHECK(answer.status == 500);
+    CHECK(answer.body == "failed");
+    CHECK_FALSE(http::findHeader(answer.headers, platform::cSealField).empty());
+    CHECK(fixture.runsOf("o1").size() == 1);
+}
+
+TEST_CASE("a request that every endpoint refuses is refused at once, has not run and may come back")
+{
+    site_fixture fixture;
+    fixture.faultOnAll("app-", {{"refuse", -1}});
+    const auto start = std::chrono::steady_clock::now();
+    const http::response answer = fixture.call({.path = "/order/1", .id = "o1"});
+    CHECK(answer.status == 503);
+    CHECK(std::chrono::steady_clock::now() - start < 1s);
+    CHECK_FALSE(http::findHeader(answer.headers, "Retry-After").empty());
+    CHECK(fixture.runsOf("o1").empty());
+}
+
+TEST_CASE("a silent endpoint ends in an unknown answer before the caller's time is over")
+{
+    site_fixture fixture;
+    fixture.faultOnAll("app-", {{"silent", true}});
+    const http::response answer
+        = fixture.call({.path = "/order/1", .deadlineMs = 700, .patience = 900ms});
+    CHECK(answer.status == 504);
+}
+
+TEST_CASE("a request beyond its account's rate over all instances is refused with a time")
+{
+    site_fixture fixture;
+    fixture.fleet.configuration()["tenants"][1]["rate-per-s"] = 1;
+    fixture.fleet.configuration()["tenants"][1]["burst"] = 1000;
+    REQUIRE(fixture.fleet.publish());
+    http::response refused;
+    CHECK(site::waitFor([&] {
+        refused = fixture.call({.key = "key-island"});
+        return refused.status == 429;
+    }));
+    CHECK_FALSE(http::findHeader(refused.headers, "Retry-After").empty());
+    CHECK(site::waitFor(
+        [&] { return fixture.call({.key = "key-island", .instance = "edge-2"}).status == 429; }));
+    CHECK(fixture.call({.instance = "edge-2"}).status == 200);
+}
+
+TEST_CASE("a stream arrives whole, goes on at another engine if it may, and else is visibly cut")
+{
+    site_fixture fixture;
+    const http::response whole = fixture.call({.path = "/chat/1", .id = "s1", .adapter = "a1"});
+    CHECK(whole.outcome == http::call_outcome::completed);
+    CHECK(whole.body == wholeStream("s1"));
+    fixture.faultOnAll("engine-", {{"cut", 1}});
+    const http::response cut = fixture.call({.path = "/chat/1", .id = "s2", .adapter = "a1"});
+    CHECK(cut.outcome != http::call_outcome::completed);
+    CHECK(wholeStream("s2").starts_with(cut.body));
+    CHECK(fixture.runsOf("s2").size() == 1);
+    fixture.faultOnAll("engine-", {{"cut", 0}});
+    for (const std::string &name : fixture.fleet.names("engine-")) {
+        REQUIRE(fixture.fleet.setFaults(name, {{"cut", 1}}));
+        const http::response resumed
+            = fixture.call({.path = "/long/1", .id = "s3-" + name, .adapter = "a1"});
+        CHECK(resumed.outcome == http::call_outcome::completed);
+        CHECK(resumed.body == wholeStream("s3-" + name));
+        fixture.faultOnAll("engine-", {{"cut", 0}});
+    }
+}
+
+TEST_CASE("an endpoint stops its work when the caller leaves")
+{
+    site_fixture fixture({.engineFlags = {"--events", "400"}});
+    callAndLeave(fixture.makeCall({.path = "/chat/1", .id = "s1", .adapter = "a1"}),
+                 [&] { return !fixture.runsOf("s1").empty(); });
+    CHECK(site::waitFor([&] { return !fixture.fleet.facts("run_cancelled").empty(); }, 2s));
+}
+
+TEST_CASE("an adapter that many ask for at once is loaded once and never beyond its places")
+{
+    site_fixture fixture({.instances = 3, .engines = 3, .engineFlags = {"--slots", "64"}});
+    std::vector<std::thread> callers;
+    std::atomic<int> served = 0;
+    for (int index = 0; index < 24; ++index) {
+        const caller_request request{.path = "/chat/1",
+                                     .id = "s" + std::to_string(index),
+                                     .adapter = "a" + std::to_string(index % 4),
+                                     .instance = "edge-" + std::to_string(1 + index % 3)};
+        callers.emplace_back([&served, call = fixture.makeCall(request)] {
+            standins::http_probe probe;
+            if (probe.call(call).status == 200)
+                ++served;
+        });
+    }
+    for (std::thread &caller : callers)
+        caller.join();
+    CHECK(served == 24);
+    std::map<std::string, int> loads;
+    for (const json &load : fixture.fleet.facts("load"))
+        ++loads[load.at("adapter").get<std::string>()];
+    CHECK(loads.size() == 4);
+    for (const auto &[adapter, count] : loads)
+        CHECK(count == 1);
+    for (int index = 0; index < 30; ++index)
+        CHECK(fixture.call({.path = "/chat/1", .adapter = "b" + std::to_string(index)}).status
+              == 200);
+    CHECK(fixture.fleet.facts("overfull").empty());
+}
+
+TEST_CASE("a named version of an adapter serves within its bound")
+{
+    site_fixture fixture;
+    REQUIRE(fixture.call({.path = "/chat/1", .adapter = "a1"}).status == 200);
+    REQUIRE(fixture.fleet.nameVersion("a1", 7));
+    int tries = 0;
+    CHECK(site::waitFor(
+        [&] {
+            const std::string id = "v" + std::to_string(++tries);
+            fixture.call({.path = "/chat/1", .id = id, .adapter = "a1"});
+            const auto runs = fixture.runsOf(id);
+            return !runs.empty() && runs.back().at("version") == 7;
+        },
+        5s));
+}
+
+TEST_CASE("an engine's orders come from one holder, and lost or late orders change nothing twice")
+{
+    site_fixture fixture({.instances = 3});
+    fixture.faultOnAll("engine-", {{"late_orders", 1}});
+    for (int index = 0; index < 12; ++index)
+        fixture.call({.path = "/chat/1",
+                      .adapter = "a" + std::to_string(index),
+                      .instance = "edge-" + std::to_string(1 + index % 3)});
+    std::map<std::string, std::set<std::string>> holders;
+    for (const json &order : fixture.fleet.facts("order"))
+        holders[order.at("process").get<std::string>()].insert(
+            order.at("holder").get<std::string>());
+    CHECK(holders.size() == 2);
+    for (const auto &[engine, names] : holders)
+        CHECK(names.size() == 1);
+    CHECK(fixture.fleet.facts("overfull").empty());
+}
+
+TEST_CASE("callers are served while the store is away, forgets or loses answers, and after it")
+{
+    site_fixture fixture;
+    REQUIRE(fixture.call({.path = "/chat/1", .adapter = "a1"}).status == 200);
+    const std::string mode = GENERATE("busy", "silent", "reset");
+    CAPTURE(mode);
+    REQUIRE(fixture.fleet.setFaults("store", {{"mode", mode}}));
+    for (int index = 0; index < 5; ++index) {
+        CHECK(fixture.call().status == 200);
+        CHECK(fixture.call({.path = "/chat/1", .adapter = "a1"}).status == 200);
+        std::this_thread::sleep_for(150ms);
+    }
+    REQUIRE(fixture.fleet.setFaults("store", {{"mode", "none"}, {"forget", true}, {"lose", 2}}));
+    fixture.fleet.configuration()["tenants"][0]["api-keys"] = {"key-new"};
+    REQUIRE(fixture.fleet.publish());
+    CHECK(site::waitFor([&] { return fixture.call({.key = "key-new"}).status == 200; }, 5s));
+}
+
+TEST_CASE("an instance that knows no configuration is not ready and refuses, then serves")
+{
+    site_fixture fixture;
+    REQUIRE(fixture.fleet.setFaults("store", {{"mode", "busy"}}));
+    // The others could pass the configuration on.
+    fixture.fleet.process("edge-1").kill();
+    REQUIRE(fixture.fleet.restart("edge-2"));
+    const http::response early = fixture.call({.instance = "edge-2"});
+    CHECK(early.status == 503);
+    CHECK_FALSE(fixture.fleet.isReady("edge-2"));
+    REQUIRE(fixture.fleet.setFaults("store", {{"mode", "none"}}));
+    CHECK(fixture.fleet.waitReady("edge-2"));
+    CHECK(fixture.call({.instance = "edge-2"}).status == 200);
+}
+
+TEST_CASE("SIGTERM takes an instance out of rotation, ends no stream and serves what arrives")
+{
+    site_fixture fixture({.engineFlags = {"--events", "80"}});
+    REQUIRE(fixture.call({.path = "/chat/1", .adapter = "a1"}).status == 200);
+    http::response stream;
+    std::thread caller(
+        [&stream, call = fixture.makeCall({.path = "/chat/1", .id = "s1", .adapter = "a1"})] {
+            standins::http_probe probe;
+            stream = probe.call(call);
+        });
+    REQUIRE(site::waitFor([&] { return !fixture.runsOf("s1").empty(); }));
+    fixture.fleet.process("edge-1").signal(SIGTERM);
+    CHECK(fixture.fleet.waitReady("edge-1", false));
+    const http::response late = fixture.call();
+    CHECK(late.status == 200);
+    CHECK(http::findHeader(late.headers, "Connection") == "close");
+    caller.join();
+    CHECK(stream.body == wholeStream("s1", 80));
+    CHECK(fixture.fleet.process("edge-1").waitExit(10s) == 0);
+}
+
+TEST_CASE("a reload takes the new settings, and a faulty file leaves the former ones in force")
+{
+    site_fixture fixture;
+    const std::string file = fixture.fleet.fileIn("edge-1.toml");
+    const auto logged = [&](const std::string &inEvent) {
+        std::ifstream log(fixture.fleet.fileIn("edge-1.log"));
+        std::ostringstream text;
+        text << log.rdbuf();
+        return text.str().find("\"" + inEvent + "\"") != std::string::npos;
+    };
+    std::ofstream(file, std::ios::app) << "ratio = 0.5\n";
+    fixture.fleet.process("edge-1").signal(SIGHUP);
+    CHECK(site::waitFor([&] { return logged("reloaded"); }));
+    std::ofstream(file) << "[nonsense]\n";
+    fixture.fleet.process("edge-1").signal(SIGHUP);
+    CHECK(site::waitFor([&] { return logged("reload_failed"); }));
+    CHECK(fixture.call().status == 200);
+}
+
+TEST_CASE("an engine that starts again under its id is used as an empty one")
+{
+    site_fixture fixture({.engines = 1, .proxied = true});
+    REQUIRE(fixture.call({.path = "/chat/1", .adapter = "a1"}).status == 200);
+    REQUIRE(fixture.fleet.restart("engine-1"));
+    CHECK(site::waitFor(
+        [&] { return fixture.call({.path = "/chat/1", .adapter = "a1"}).status == 200; }, 8s));
+    CHECK(fixture.fleet.facts("load").size() == 2);
+}
+
+TEST_CASE("an endpoint that leaves gets nothing more, and its requests go to another one")
+{
+    site_fixture fixture;
+    REQUIRE(fixture.fleet.setFaults("app-1", {{"leaving", true}}));
+    std::this_thread::sleep_for(1500ms);
+    for (int index = 0; index < 10; ++index)
+        CHECK(fixture.call({.path = "/order/1", .id = "o" + std::to_string(index)}).status == 200);
+    for (const json &run : fixture.fleet.facts("run"))
+        CHECK(run.at("process") == "app-2");
+}
+
+TEST_CASE(
+    "engines of an instance that was killed or paused get another holder, with a higher fence")
+{
+    site_fixture fixture({.instances = 3, .engines = 3});
+    const bool kills = GENERATE(true, false);
+    CAPTURE(kills);
+    if (kills)
+        fixture.fleet.process("edge-1").kill();
+    else
+        fixture.fleet.process("edge-1").pause();
+    int tries = 0;
+    const auto served = [&] {
+        const http::response answer
+            = fixture.call({.path = "/chat/1",
+                            .adapter = "n" + std::to_string(++tries),
+                            .instance = "edge-" + std::to_string(2 + tries % 2)});
+        CHECK((answer.status == 200 || promisesNotRun(answer.status)));
+        return answer.status == 200;
+    };
+    // The silence that shows its end, the claim and the former holder's time pass one by one.
+    CHECK(site::waitFor(
+        [&] {
+            served();
+            return fixture.fleet.waitHolders("edge-2", "edge-1", 0ms);
+        },
+        30s));
+    for (int index = 0; index < 12; ++index)
+        CHECK(served());
+    if (!kills)
+        fixture.fleet.process("edge-1").resume();
+    for (int index = 0; index < 12; ++index)
+        served();
+    std::map<std::string, long long> fences;
+    for (const json &order : fixture.fleet.facts("order")) {
+        long long &highest = fences[order.at("process").get<std::string>()];
+        CHECK(order.at("fence").get<long long>() >= highest);
+        highest = std::max(highest, order.at("fence").get<long long>());
+    }
+}
