--- /dev/null
+++ b/bench/soak_bench.cpp
@@ -0,0 +1,358 @@
+// Randomized fault soak: real instances, store and endpoints as separate processes, faults from
+// outside, and the promises checked from what callers and endpoints saw. Prints a table.
+
+#include "bench/soak_calls.h"
+#include "bench/soak_checks.h"
+#include "standins/flag_parser.h"
+#include "standins/ledger.h"
+#include "standins/site.h"
+
+#include <algorithm>
+#include <array>
+#include <csignal>
+#include <cstdio>
+#include <functional>
+#include <map>
+#include <random>
+#include <set>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace {
+
+using namespace std::chrono_literals;
+using corneltally::bench::call_kind;
+using corneltally::bench::soak_callers;
+using corneltally::bench::soak_facts;
+using nlohmann::json;
+using standins::site;
+using steady = std::chrono::steady_clock;
+
+struct soak_options
+{
+    long long seed = 1;
+    double seconds = 20;
+    long long instances = 4;
+    long long engines = 4;
+    long long applications = 3;
+    long long callers = 10;
+    std::string binaries;
+    std::string folder;
+    std::string breaks;
+};
+
+/// Time that instances have to serve all kinds again once all faults have ended: take-over of
+/// engines, restarts, and lapsed entries.
+constexpr auto cRecovery = 30s;
+
+/// Faults that begin at random and end by themselves.
+class soak_run
+{
+public:
+    soak_run(const soak_options &inOptions, site &ioFleet, soak_callers &ioCallers)
+        : mOptions(inOptions)
+        , mFleet(ioFleet)
+        , mCallers(ioCallers)
+        , mRandom(static_cast<std::uint64_t>(inOptions.seed))
+    { }
+
+    void injectFaults()
+    {
+        const auto end = steady::now()
+            + std::chrono::duration_cast<steady::duration>(
+                             std::chrono::duration<double>(mOptions.seconds));
+        while (steady::now() < end) {
+            begin();
+            const auto next = steady::now() + std::chrono::milliseconds(150 + pick(900));
+            while (steady::now() < next) {
+                finishDue(steady::now());
+                std::this_thread::sleep_for(20ms);
+            }
+        }
+        finishDue(steady::time_point::max());
+        mFleet.linkFault({}, "heal");
+        for (const std::string &name : mFleet.names("edge-")) {
+            if (!mFleet.process(name).isRunning())
+                restart(name);
+        }
+    }
+
+    const std::map<std::string, int> &injected() const { return mInjected; }
+    const std::map<std::string, double> &withdrawn() const { return mWithdrawn; }
+    const std::vector<std::string> &unexpected() const { return mUnexpected; }
+
+private:
+    std::size_t pick(std::size_t inCount) { return mRandom() % inCount; }
+
+    std::string pickName(const std::string &inPrefix)
+    {
+        const std::vector<std::string> names = mFleet.names(inPrefix);
+        return names[pick(names.size())];
+    }
+
+    void later(std::chrono::milliseconds inAfter, std::function<void()> inEnd)
+    {
+        mEnds.emplace(steady::now() + inAfter, std::move(inEnd));
+    }
+
+    void finishDue(steady::time_point inNow)
+    {
+        while (!mEnds.empty() && mEnds.begin()->first <= inNow) {
+            const std::function<void()> end = std::move(mEnds.begin()->second);
+            mEnds.erase(mEnds.begin());
+            end();
+        }
+    }
+
+    void setTargets()
+    {
+        std::vector<corneltally::http::address> targets;
+        for (const std::string &name : mFleet.names("edge-"))
+            targets.push_back({"127.0.0.1", mFleet.process(name).port("callers")});
+        mCallers.setTargets(std::move(targets));
+    }
+
+    void restart(const std::string &inName)
+    {
+        if (!mFleet.restart(inName))
+            mUnexpected.push_back(inName + " did not start again");
+        setTargets();
+        mBusy.erase(inName);
+    }
+
+    void begin()
+    {
+        const std::string instance = pickName("edge-");
+        const std::string endpoint = pickName(pick(2) == 0 ? "engine-" : "app-");
+        const std::chrono::milliseconds length(200 + pick(3500));
+        switch (pick(13)) {
+        case 0:
+            stopInstance(
+                instance, "killed", [this, instance] { mFleet.process(instance).kill(); }, length);
+            break;
+        case 1:
+            stopInstance(
+                instance, "SIGTERM",
+                [this, instance] {
+                    if (mFleet.process(instance).terminate(12s) != 0)
+                        mUnexpected.push_back(instance + " did not end with 0 after SIGTERM");
+                },
+                300ms);
+            break;
+        case 2:
+            if (!mBusy.insert(instance).second)
+                return;
+            note("paused");
+            mFleet.process(instance).pause();
+            later(length, [this, instance] {
+                mFleet.process(instance).resume();
+                mBusy.erase(instance);
+            });
+            break;
+        case 3:
+            note("endpoint killed");
+            mFleet.process(endpoint).kill();
+            later(length, [this, endpoint] { mFleet.restart(endpoint); });
+            break;
+        case 4:
+        case 5: {
+            const std::vector<std::string> faults{"lose", "fail", "cut", "refuse"};
+            const std::string fault = faults[pick(faults.size())];
+            note("endpoint: " + fault);
+            if (mFleet.process(endpoint).isRunning())
+                mFleet.setFaults(endpoint, {{fault, 1 + pick(10)}});
+            break;
+        }
+        case 6:
+            note("orders late");
+            if (const std::string engine = pickName("engine-"); mFleet.process(engine).isRunning())
+                mFleet.setFaults(engine, {{"late_orders", 1 + pick(2)}});
+            break;
+        case 7: {
+            const std::vector<std::string> modes{"busy", "silent", "reset"};
+            note("store away");
+            mFleet.setFaults("store", {{"mode", modes[pick(modes.size())]}});
+            later(length, [this] { mFleet.setFaults("store", {{"mode", "none"}}); });
+            break;
+        }
+        case 8:
+            note("store loses or delays answers, forgets history");
+            mFleet.setFaults("store",
+                             {{"lose", pick(3)}, {"late", pick(2)}, {"forget", pick(2) == 0}});
+            break;
+        case 9:
+            linkFault({endpoint}, length);
+            break;
+        case 10:
+            linkFault({instance + ">store"}, length);
+            break;
+        case 11:
+            changeKey();
+            break;
+        default:
+            note("version named, reload");
+            mFleet.nameVersion("a" + std::to_string(pick(4)), ++mAdapterVersion);
+            if (!mBusy.contains(instance))
+                mFleet.process(instance).signal(SIGHUP);
+        }
+    }
+
+    void note(const std::string &inFault) { ++mInjected[inFault]; }
+
+    void stopInstance(const std::string &inName, const std::string &inFault,
+                      const std::function<void()> &inStop, std::chrono::milliseconds inDown)
+    {
+        if (!mBusy.insert(inName).second)
+            return;
+        if (!mFleet.process(inName).isRunning())
+            mUnexpected.push_back(inName + " had ended by itself");
+        note(inFault);
+        inStop();
+        later(inDown, [this, inName] { restart(inName); });
+    }
+
+    void linkFault(const std::vector<std::string> &inLinks, std::chrono::milliseconds inLength)
+    {
+        const std::vector<std::string> faults{"cut", "freeze", "half_open", "delay"};
+        const std::string fault = faults[pick(faults.size())];
+        note("link: " + fault);
+        json more{{"delay_ms", 20 + pick(150)}};
+        if (pick(2) == 0)
+            more["direction"] = pick(2) == 0 ? "forward" : "backward";
+        mFleet.linkFault(inLinks, fault, more);
+        later(inLength, [this, inLinks] { mFleet.linkFault(inLinks, "heal"); });
+    }
+
+    /// Adds a key to an account and, once it is in force, withdraws the former one.
+    void changeKey()
+    {
+        if (mKeyChanging)
+            return;
+        mKeyChanging = true;
+        note("key withdrawn");
+        const std::size_t index = pick(2);
+        json &account = mFleet.configuration()["tenants"][index];
+        const std::string name = account["name"];
+        const std::string former = account["api-keys"][0];
+        const std::string next = name + "-" + std::to_string(++mKeys);
+        account["api-keys"] = {former, next};
+        mFleet.publish();
+        later(std::chrono::milliseconds(static_cast<int>(cConfigurationBound * 1000)),
+              [this, index, name, former, next] {
+                  mCallers.setKey(name, next);
+                  later(3s, [this, index, former, next] {
+                      mWithdrawn[former] = standins::wallSeconds();
+                      mFleet.configuration()["tenants"][index]["api-keys"] = {next};
+                      mFleet.publish();
+                      mKeyChanging = false;
+                  });
+              });
+    }
+
+public:
+    /// The operator's bound of 2 s and that of an unstable store, 5 s.
+    static constexpr double cConfigurationBound = 7;
+
+private:
+    const soak_options &mOptions;
+    site &mFleet;
+    soak_callers &mCallers;
+    std::mt19937_64 mRandom;
+    std::multimap<steady::time_point, std::function<void()>> mEnds;
+    std::set<std::string> mBusy;
+    std::map<std::string, int> mInjected;
+    std::map<std::string, double> mWithdrawn;
+    std::vector<std::string> mUnexpected;
+    std::uint64_t mAdapterVersion = 1;
+    int mKeys = 0;
+    bool mKeyChanging = false;
+};
+
+bool servesAll(const soak_callers &inCallers)
+{
+    std::array<int, 4> before{};
+    const std::array kinds{call_kind::look, call_kind::order, call_kind::chat,
+                           call_kind::resumable};
+    for (std::size_t index = 0; index < kinds.size(); ++index)
+        before[index] = inCallers.served(kinds[index]);
+    return site::waitFor(
+        [&] {
+            return std::ranges::all_of(kinds, [&](call_kind inKind) {
+                return inCallers.served(inKind) > before[static_cast<std::size_t>(inKind)] + 10;
+            });
+        },
+        cRecovery);
+}
+
+int runSoak(const soak_options &inOptions)
+{
+    standins::site_options options{.binaries = inOptions.binaries,
+                                   .folder = inOptions.folder,
+                                   .instances = static_cast<int>(inOptions.instances),
+                                   .engines = static_cast<int>(inOptions.engines),
+                                   .applications = static_cast<int>(inOptions.applications),
+                                   .proxied = true,
+                                   .oneMachine = inOptions.breaks == "machine"};
+    site fleet(options);
+    if (!fleet.start()) {
+        std::printf("the fleet did not start, see %s\n", inOptions.folder.c_str());
+        return 1;
+    }
+    soak_callers callers(static_cast<std::uint64_t>(inOptions.seed),
+                         static_cast<int>(inOptions.callers));
+    for (const json &account : fleet.configuration().at("tenants"))
+        callers.setKey(account.at("name"), account.at("api-keys").at(0));
+    soak_run run(inOptions, fleet, callers);
+    std::vector<corneltally::http::address> targets;
+    for (const std::string &name : fleet.names("edge-"))
+        targets.push_back({"127.0.0.1", fleet.process(name).port("callers")});
+    callers.setTargets(targets);
+    run.injectFaults();
+    const bool recovered = servesAll(callers);
+    callers.stop();
+    soak_facts facts{.calls = callers.takeCalls(),
+                     .runs = fleet.facts("run"),
+                     .orders = fleet.facts("order"),
+                     .overfull = fleet.facts("overfull"),
+                     .withdrawn = run.withdrawn(),
+                     .configurationBound = soak_run::cConfigurationBound,
+                     .holderPause = 3.0};
+    auto verdict = corneltally::bench::checkSoak(facts);
+    ++verdict.checked["served again after all faults"];
+    if (!recovered)
+        verdict.violations.emplace_back("served again after all faults: not within 30 s");
+    for (const std::string &what : run.unexpected())
+        verdict.violations.push_back("ends: " + what);
+    const auto served = std::ranges::count_if(
+        facts.calls, [](const auto &inCall) { return inCall.complete && inCall.status == 200; });
+    std::printf("seed %lld, %.0f s, %zu calls, %td served, %zu runs, %zu orders\n", inOptions.seed,
+                inOptions.seconds, facts.calls.size(), served, facts.runs.size(),
+                facts.orders.size());
+    for (const auto &[fault, count] : run.injected())
+        std::printf("  fault %-50s %d\n", fault.c_str(), count);
+    for (const auto &[promise, count] : verdict.checked)
+        std::printf("  checked %-48s %lld\n", promise.c_str(), count);
+    for (const std::string &violation : verdict.violations)
+        std::printf("VIOLATION %s\n", violation.c_str());
+    std::printf("seed %lld: %zu violations\n", inOptions.seed, verdict.violations.size());
+    return verdict.violations.empty() ? 0 : 1;
+}
+
+} // namespace
+
+int main(int inCount, char **inArguments)
+{
+    soak_options options;
+    standins::flag_parser flags("fault soak of forwarding instances");
+    flags.add("seed", "seed of faults and calls", options.seed);
+    flags.add("seconds", "time with faults", options.seconds);
+    flags.add("instances", "forwarding instances", options.instances);
+    flags.add("engines", "engines", options.engines);
+    flags.add("applications", "plain endpoints", options.applications);
+    flags.add("callers", "callers, a thread each", options.callers);
+    flags.add("binaries", "folder with the built programs", options.binaries);
+    flags.add("folder", "folder of the run", options.folder);
+    flags.add("break", "turns a guard off, to see that it is missed: machine", options.breaks);
+    return flags.parse(inCount, inArguments) ? runSoak(options) : 2;
+}
--- /dev/null
+++ b/bench/soak_calls.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "corneltally/http/message.h"
+
+#include <array>
+#include <atomic>
+#include <cstdint>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <utility>
+#include <vector>
+
+namespace corneltally::bench {
+
+/// Kind of a soak call by the path of its route.
+enum class call_kind { look, order, chat, resumable };
+
+/// One call as its caller saw it.
+struct soak_call
+{
+    std::string id;
+    call_kind kind = call_kind::look;
+    std::string account;
+    std::string key;
+    /// Seconds since 1970.
+    double start = 0;
+    double end = 0;
+    /// Zero if no answer began.
+    int status = 0;
+    /// Whether the answer was complete.
+    bool complete = false;
+    std::string body;
+};
+
+/// Callers that send requests of all kinds to all instances over kept connections, one thread each,
+/// until they are stopped.
+class soak_callers
+{
+public:
+    soak_callers(std::uint64_t inSeed, int inCallers);
+    ~soak_callers();
+    soak_callers(const soak_callers &) = delete;
+    soak_callers &operator=(const soak_callers &) = delete;
+
+    void setTargets(std::vector<http::address> inTargets);
+    /// The key that the account's callers use from now on.
+    void setKey(const std::string &inAccount, const std::string &inKey);
+    void stop();
+
+    std::vector<soak_call> takeCalls();
+    /// Calls that were served so far, by kind.
+    int served(call_kind inKind) const { return mServed[static_cast<std::size_t>(inKind)]; }
+
+private:
+    void run(std::uint64_t inSeed, int inNumber);
+
+    mutable std::mutex mMutex;
+    std::vector<http::address> mTargets;
+    std::vector<std::pair<std::string, std::string>> mKeys;
+    std::vector<soak_call> mCalls;
+    std::array<std::atomic<int>, 4> mServed{};
+    std::atomic<bool> mStopping = false;
+    std::vector<std::thread> mThreads;
+};
+
+} // namespace corneltally::bench
--- /dev/null
+++ b/bench/soak_checks.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "bench/soak_calls.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include <nlohmann/json_fwd.hpp>
+
+namespace corneltally::bench {
+
+/// Facts of a soak run: what callers saw, and what endpoints and the store wrote down.
+struct soak_facts
+{
+    std::vector<soak_call> calls;
+    std::vector<nlohmann::json> runs;
+    std::vector<nlohmann::json> orders;
+    std::vector<nlohmann::json> overfull;
+    /// When a key was withdrawn, in seconds since 1970.
+    std::map<std::string, double> withdrawn;
+    /// Bound of the time in which a configuration is in force everywhere, with outages.
+    double configurationBound = 0;
+    /// Time between the orders of two holders of one engine.
+    double holderPause = 0;
+};
+
+/// How often each promise was checked, and what contradicts it.
+struct soak_verdict
+{
+    std::map<std::string, long long> checked;
+    std::vector<std::string> violations;
+};
+
+soak_verdict checkSoak(const soak_facts &inFacts);
+
+} // namespace corneltally::bench
--- a/corneltally/catalog/catalog_messages.h
+++ b/corneltally/catalog/catalog_messages.h
@@ -101,6 +101,14 @@
     store::topic_update update;
 };
 
+/// The topic that the instances share is to be read now, or its reads are to wait for a time.
+struct fleet_look
+{ };
+struct fleet_wait_changed
+{
+    core::duration wait{};
+};
+
 /// Appends records to the topic that the instances share.
 struct fleet_append
 {
--- a/corneltally/catalog/catalog_service.h
+++ b/corneltally/catalog/catalog_service.h
@@ -27,14 +27,17 @@
     std::string endpointTopic;
     std::string fleetTopic;
     /// Time that a read of the operator's records waits at the store. A silent connection is
-    /// noticed after it; until then other instances pass the records on.
-    core::duration longWait = std::chrono::milliseconds(2000);
-    /// The same for the instances' own topic: holders of engines stop when their last look at the
-    /// claims is 4 s old.
+    /// noticed after it; until then other instances pass the records on, and the reader of the
+    /// endpoints notices a silent store within two seconds. Each call to the store is priced.
+    core::duration longWait = std::chrono::milliseconds(8000);
+    /// The same for the instances' own topic, until the orders service asks for another wait.
     core::duration fleetWait = std::chrono::milliseconds(2200);
+    /// Pause between reads of the instances' own topic. Each record wakes the reads of all
+    /// instances, so that records which come in quick succession are read together.
+    core::duration fleetPause = std::chrono::milliseconds(300);
     /// Pause between reads of the endpoints, whose entries are renewed all the time. A leaving
     /// endpoint must get nothing new 2 s after its notice.
-    core::duration endpointPause = std::chrono::milliseconds(500);
+    core::duration endpointPause = std::chrono::milliseconds(700);
 };
 
 /// Follows the operator's records, the endpoints' entries and the instances' own topic, and tells
@@ -55,7 +58,8 @@
         , mEndpoints(ioRegistry.loop(), *mClient, inSettings.endpointTopic,
                      {.pause = inSettings.endpointPause},
                      [this](const store::topic_update &inUpdate) { endpointsUpdated(inUpdate); })
-        , mFleet(ioRegistry.loop(), *mClient, inSettings.fleetTopic, {.wait = inSettings.fleetWait},
+        , mFleet(ioRegistry.loop(), *mClient, inSettings.fleetTopic,
+                 {.wait = inSettings.fleetWait, .pause = inSettings.fleetPause},
                  [this](const store::topic_update &inUpdate) {
                      mRegistry.broadcast(fleet_topic_updated{inUpdate});
                  })
@@ -63,6 +67,9 @@
     {
         mRegistry.handle<fleet_append>(cName,
                                        [this](const fleet_append &inAppend) { append(inAppend); });
+        mRegistry.handle<fleet_look>(cName, [this](const fleet_look &) { mFleet.look(); });
+        mRegistry.handle<fleet_wait_changed>(
+            cName, [this](const fleet_wait_changed &inChanged) { mFleet.setWait(inChanged.wait); });
         mRegistry.handle<operator_record_received>(
             cName, [this](const operator_record_received &inReceived) {
                 applyOperatorRecord(inReceived.record, "instance");
--- a/corneltally/engines/endpoint_book.cpp
+++ b/corneltally/engines/endpoint_book.cpp
@@ -1,5 +1,7 @@
 #include "corneltally/engines/endpoint_book.h"
 
+#include "corneltally/core/digest.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -43,6 +45,17 @@
     return std::string(inModel) + "/" + std::string(inAdapter);
 }
 
+endpoint_digest digestOf(std::string_view inEndpoint)
+{
+    return core::stableHash(inEndpoint);
+}
+
+adapter_digest digestOf(std::string_view inEndpoint, std::string_view inAdapterKey)
+{
+    std::string name(inEndpoint);
+    return core::stableHash(name.append("|").append(inAdapterKey));
+}
+
 bool endpoint::holdsModel(std::string_view inModel) const
 {
     return std::ranges::find(models, inModel) != models.end();
@@ -57,6 +70,7 @@
     if (restarted)
         target = endpoint{};
     target.entry = inEntry;
+    target.digest = digestOf(inEntry.id);
     target.removed = false;
     if (restarted || inNow - target.holderReportAt > sHolderAge)
         adoptEntry(target);
@@ -102,9 +116,8 @@
 }
 
 void endpoint_book::applyPeerLoads(const std::string &inInstance,
-                                   std::map<std::string, endpoint_load, std::less<>> inLoads,
-                                   std::set<std::pair<std::string, std::string>> inRunning,
-                                   core::time_point inNow)
+                                   std::map<endpoint_digest, endpoint_load> inLoads,
+                                   std::set<adapter_digest> inRunning, core::time_point inNow)
 {
     mPeers.insert_or_assign(inInstance,
                             peer_loads{std::move(inLoads), std::move(inRunning), inNow});
@@ -117,12 +130,12 @@
     int open = inPlaces - static_cast<int>(adapters.resident.size() + adapters.arriving.size());
     for (const auto &entry : adapters.resident) {
         const std::string &adapter = entry.first;
-        const bool isRunning
-            = inEndpoint.ownRunning.contains(adapter)
+        const adapter_digest digest = digestOf(inEndpoint.entry.id, adapter);
+        const bool isRunning = inEndpoint.ownRunning.contains(adapter)
             || std::ranges::any_of(mPeers, [&](const auto &inPeer) {
-                   return inNow - inPeer.second.at <= sLoadAge
-                       && inPeer.second.running.contains({inEndpoint.entry.id, adapter});
-               });
+                                   return inNow - inPeer.second.at <= sLoadAge
+                                       && inPeer.second.running.contains(digest);
+                               });
         open += isRunning ? 0 : 1;
     }
     return open - std::max(inEndpoint.queued, static_cast<int>(inEndpoint.ownWaiting.size()));
@@ -149,13 +162,52 @@
     return found == mEndpoints.end() ? nullptr : &found->second;
 }
 
+void endpoint_book::notePause(endpoint_digest inEndpoint, core::duration inPause)
+{
+    if (inPause < sReadingPause || inPause > sLongestPause)
+        return;
+    const auto found = std::ranges::find_if(
+        mEndpoints, [&](const auto &inEntry) { return inEntry.second.digest == inEndpoint; });
+    if (found == mEndpoints.end())
+        return;
+    core::duration &known = found->second.readingPause;
+    if (known == core::duration::zero())
+        known = inPause;
+    else
+        known += std::chrono::duration_cast<core::duration>((inPause - known) * sPauseWeight);
+}
+
+double endpoint_book::slowness(const endpoint &inEndpoint) const
+{
+    const auto typical = mTypicalPauses.find(inEndpoint.entry.service);
+    if (inEndpoint.readingPause == core::duration::zero() || typical == mTypicalPauses.end())
+        return 1;
+    return std::chrono::duration<double>(inEndpoint.readingPause)
+        / std::chrono::duration<double>(typical->second);
+}
+
+void endpoint_book::updateTypicalPauses()
+{
+    std::map<std::string, std::vector<core::duration>, std::less<>> pauses;
+    for (const auto &[id, target] : mEndpoints) {
+        if (target.readingPause > core::duration::zero())
+            pauses[target.entry.service].push_back(target.readingPause);
+    }
+    mTypicalPauses.clear();
+    for (auto &[service, list] : pauses) {
+        const auto middle = list.begin() + static_cast<std::ptrdiff_t>(list.size() / 2);
+        std::ranges::nth_element(list, middle);
+        mTypicalPauses[service] = *middle;
+    }
+}
+
 endpoint_load endpoint_book::totalLoad(const endpoint &inEndpoint, core::time_point inNow) const
 {
     endpoint_load total = inEndpoint.own;
     for (const auto &[instance, peer] : mPeers) {
         if (inNow - peer.at > sLoadAge)
             continue;
-        const auto found = peer.loads.find(inEndpoint.entry.id);
+        const auto found = peer.loads.find(inEndpoint.digest);
         if (found == peer.loads.end())
             continue;
         total.requests += found->second.requests;
@@ -189,6 +241,7 @@
         return target.removed && target.own.requests == 0
             && inNow - target.removedAt > sForgetAfter;
     });
+    updateTypicalPauses();
     std::erase_if(mPeers,
                   [&](const auto &inEntry) { return inNow - inEntry.second.at > sLoadAge; });
 }
--- a/corneltally/engines/endpoint_book.h
+++ b/corneltally/engines/endpoint_book.h
@@ -49,10 +49,18 @@
 /// Name of an adapter together with its base model.
 std::string adapterKey(std::string_view inModel, std::string_view inAdapter);
 
+/// Digests that stand for an endpoint and for an adapter on an engine between instances.
+using endpoint_digest = std::uint64_t;
+using adapter_digest = std::uint64_t;
+
+endpoint_digest digestOf(std::string_view inEndpoint);
+adapter_digest digestOf(std::string_view inEndpoint, std::string_view inAdapterKey);
+
 /// What an instance believes of one endpoint.
 struct endpoint
 {
     endpoint_entry entry;
+    endpoint_digest digest = 0;
     /// The entry was removed, or lapsed while the store was away.
     bool removed = false;
     core::time_point removedAt;
@@ -76,6 +84,9 @@
     std::map<std::string, int, std::less<>> ownWaiting;
     /// Adapters that the engine held lately and gets back fast, the latest last.
     std::vector<std::string> warm;
+    /// Average of the longest pause between the events of an answer during which another prompt
+    /// was read; zero before the first one.
+    core::duration readingPause{};
     /// Shared parts of prompts that this instance sent, with the time of the last use.
     std::map<std::string, core::time_point, std::less<>> recentParts;
 
@@ -96,6 +107,13 @@
     static constexpr core::duration sLapseGrace = std::chrono::milliseconds(2500);
     /// Adapters that an engine keeps at hand after they were unloaded.
     static constexpr std::size_t sWarmAdapters = 40;
+    /// Pauses from which another prompt was read meanwhile: a step that reads 2,048 tokens takes
+    /// 55 ms, and an event holds four to six tokens (deployment sheets).
+    static constexpr core::duration sReadingPause = std::chrono::milliseconds(200);
+    /// Longer pauses come from something else, for example a preempted answer.
+    static constexpr core::duration sLongestPause = std::chrono::milliseconds(900);
+    /// Weight of a new pause in the average.
+    static constexpr double sPauseWeight = 0.25;
     /// Knowledge of an endpoint is dropped this long after its entry went away.
     static constexpr core::duration sForgetAfter = std::chrono::seconds(30);
 
@@ -116,9 +134,15 @@
     /// The work that another instance has at endpoints, and the adapters that it runs on;
     /// replaces what it said before.
     void applyPeerLoads(const std::string &inInstance,
-                        std::map<std::string, endpoint_load, std::less<>> inLoads,
-                        std::set<std::pair<std::string, std::string>> inRunning,
-                        core::time_point inNow);
+                        std::map<endpoint_digest, endpoint_load> inLoads,
+                        std::set<adapter_digest> inRunning, core::time_point inNow);
+
+    /// An answer of the endpoint had a longest pause, as this or another instance saw it. Short
+    /// ones say nothing, since no other prompt was read meanwhile.
+    void notePause(endpoint_digest inEndpoint, core::duration inPause);
+
+    /// How much slower an engine is than the typical one of its service; 1 if that is not known.
+    double slowness(const endpoint &inEndpoint) const;
 
     /// Adapters that an engine with a number of places could take now: free places and adapters
     /// that no request runs on, less those that wait already.
@@ -145,16 +169,19 @@
     const std::map<std::string, endpoint, std::less<>> &all() const { return mEndpoints; }
 
 private:
+    void updateTypicalPauses();
+
     struct peer_loads
     {
-        std::map<std::string, endpoint_load, std::less<>> loads;
-        /// Endpoint and adapter.
-        std::set<std::pair<std::string, std::string>> running;
+        std::map<endpoint_digest, endpoint_load> loads;
+        std::set<adapter_digest> running;
         core::time_point at;
     };
 
     std::map<std::string, endpoint, std::less<>> mEndpoints;
     std::map<std::string, peer_loads, std::less<>> mPeers;
+    /// Median of the engines' reading pauses, by service.
+    std::map<std::string, core::duration, std::less<>> mTypicalPauses;
 };
 
 } // namespace corneltally::engines
--- a/corneltally/engines/endpoint_choice.cpp
+++ b/corneltally/engines/endpoint_choice.cpp
@@ -44,12 +44,16 @@
 }
 
 double engineCost(const endpoint &inEndpoint, const endpoint_load &inLoad,
-                  const work_request &inRequest, const choice_settings &inSettings,
-                  core::time_point inNow)
+                  const work_request &inRequest, double inSlowness,
+                  const choice_settings &inSettings, core::time_point inNow)
 {
     const double toRead
         = inRequest.promptTokens - keptTokens(inEndpoint, inRequest, inSettings, inNow);
-    double cost = (inLoad.promptTokens + toRead) / inSettings.promptTokensPerMs;
+    const double pairs = toRead * (inRequest.promptTokens - toRead / 2);
+    double cost = ((inLoad.promptTokens + toRead) / inSettings.promptTokensPerMs
+                       * (1 + inSettings.stepOverhead)
+                   + pairs / 1e6 * inSettings.readingMsPerMillionPairs)
+        * std::clamp(inSlowness, 1.0, inSettings.maxSlowness);
     if (inRequest.engineBatch > 0 && inLoad.requests >= inRequest.engineBatch)
         cost += cBeyondBatchMs * (1 + inLoad.requests - inRequest.engineBatch);
     if (inRequest.engineMemory > 0) {
@@ -60,6 +64,23 @@
     return cost;
 }
 
+/// What the pauses of an engine cost, beside the request's own wait: answers are late in which an
+/// event comes later than the route allows, and the reading of a prompt delays those beside it.
+double pauseCost(const endpoint &inEndpoint, const endpoint_load &inLoad,
+                 const work_request &inRequest, const choice_settings &inSettings)
+{
+    if (inRequest.targetPause <= core::duration::zero()
+        || inEndpoint.readingPause <= inRequest.targetPause)
+        return 0;
+    const double tokens
+        = inRequest.expectedTokens > 0 ? inRequest.expectedTokens : inRequest.answerTokens;
+    const double exposure
+        = std::min(1.0, tokens * inMs(inSettings.answerToken) / inMs(inSettings.pauseExposure));
+    const double delaying = std::min(1.0, inRequest.promptTokens / inSettings.pausingPromptTokens);
+    return inMs(inSettings.pausePenalty) * exposure
+        + inMs(inSettings.besidePenalty) * delaying * inLoad.requests;
+}
+
 double plainCost(const endpoint &inEndpoint, const endpoint_load &inLoad)
 {
     const int capacity = std::max(1, inEndpoint.entry.capacity);
@@ -70,6 +91,8 @@
 struct candidate
 {
     endpoint *target = nullptr;
+    /// Time to the first event, and the same with what the choice costs others.
+    double estimate = 0;
     double cost = 0;
     endpoint_choice::readiness state = endpoint_choice::readiness::ready;
     core::time_point readyAt;
@@ -144,7 +167,8 @@
             continue;
         const endpoint_load load = ioBook.totalLoad(*target, inNow);
         candidate entry{.target = target,
-                        .cost = needsModel ? engineCost(*target, load, inRequest, inSettings, inNow)
+                        .cost = needsModel ? engineCost(*target, load, inRequest,
+                                                        ioBook.slowness(*target), inSettings, inNow)
                                            : plainCost(*target, load),
                         .preference = core::rendezvousWeight(key, target->entry.id)};
         if (needsModel && !inRequest.adapter.empty()
@@ -154,6 +178,9 @@
         entry.cost /= std::max(health, inSettings.leastHealth);
         if (target->entry.failureDomain != inFailureDomain)
             entry.cost += inMs(inSettings.domainPenalty);
+        entry.estimate = entry.cost;
+        if (needsModel)
+            entry.cost += pauseCost(*target, load, inRequest, inSettings);
         candidates.push_back(entry);
     }
     if (candidates.empty())
@@ -166,7 +193,7 @@
             entry.cost += inMs(inSettings.rankPenalty) * rank++;
     }
     const candidate &best = *std::ranges::min_element(candidates, {}, &candidate::cost);
-    return endpoint_choice{best.target->entry.id, best.state, best.readyAt, fromMs(best.cost)};
+    return endpoint_choice{best.target->entry.id, best.state, best.readyAt, fromMs(best.estimate)};
 }
 
 } // namespace corneltally::engines
--- a/corneltally/engines/endpoint_choice.h
+++ b/corneltally/engines/endpoint_choice.h
@@ -17,6 +17,24 @@
 {
     /// Prompt tokens that an engine reads in a millisecond (deployment sheets: 38 to 41).
     double promptTokensPerMs = 40;
+    /// Part by which the steps that read a prompt take longer, since each also makes a token of the
+    /// running answers (deployment sheets: 5 ms beside the 50 ms that 2,048 tokens take).
+    double stepOverhead = 0.12;
+    /// Time for a million pairs of a token that is read and one before it (deployment sheets:
+    /// 0.49).
+    double readingMsPerMillionPairs = 0.49;
+    /// Cost of a long answer at an engine whose pauses are longer than the route allows. Such an
+    /// answer is late, which loses two thirds of its worth on the deployment sheets.
+    core::duration pausePenalty = std::chrono::milliseconds(600);
+    /// An answer that takes this long meets the reading of another prompt for certain.
+    core::duration pauseExposure = std::chrono::milliseconds(1000);
+    /// Time of a token of an answer (deployment sheets: 5 ms and more a step).
+    core::duration answerToken = std::chrono::milliseconds(8);
+    /// Cost of reading a prompt of this size beside another answer at such an engine.
+    double pausingPromptTokens = 8'000;
+    core::duration besidePenalty = std::chrono::milliseconds(60);
+    /// Bound of the factor by which an engine counts as slower than the typical one.
+    double maxSlowness = 3;
     /// Time to load an adapter (deployment sheets: 250 ms).
     core::duration adapterLoad = std::chrono::milliseconds(250);
     /// Part of it for an adapter that the engine held lately (platform's pages: a tenth).
@@ -52,6 +70,10 @@
     std::uint64_t version = 0;
     double promptTokens = 0;
     double answerTokens = 0;
+    /// Tokens that the caller expects of the answer; zero if it did not say.
+    double expectedTokens = 0;
+    /// Longest pause between events with which an answer is not late; zero if there is no bound.
+    core::duration targetPause{};
     std::vector<routing::prompt_part> parts;
     /// Endpoints that must not get the request.
     std::set<std::string> excluded;
--- a/corneltally/fleet/fleet_codec.cpp
+++ b/corneltally/fleet/fleet_codec.cpp
@@ -39,18 +39,6 @@
     return list;
 }
 
-std::vector<std::unique_ptr<wire::AdapterUseT>> encodeUses(const std::vector<adapter_use> &inUses)
-{
-    std::vector<std::unique_ptr<wire::AdapterUseT>> list;
-    for (const adapter_use &use : inUses) {
-        auto entry = std::make_unique<wire::AdapterUseT>();
-        entry->endpoint = use.endpoint;
-        entry->adapter = use.adapter;
-        list.push_back(std::move(entry));
-    }
-    return list;
-}
-
 wire::OperatorRecordT encodeRecord(const store::record &inRecord)
 {
     wire::OperatorRecordT target;
@@ -92,23 +80,20 @@
         wire::HeartbeatT target;
         target.operator_end = inHeartbeat.operatorEnd;
         target.draining = inHeartbeat.draining;
-        target.heard = inHeartbeat.heard;
+        target.hears_receiver = inHeartbeat.hearsReceiver;
         for (const limits::account_use &use : inHeartbeat.accountUses) {
             auto entry = std::make_unique<wire::AccountUseT>();
             entry->account = use.account;
             entry->amount = use.amount;
             target.account_uses.push_back(std::move(entry));
         }
-        for (const auto &[endpoint, load] : inHeartbeat.loads) {
-            auto entry = std::make_unique<wire::EndpointLoadT>();
-            entry->endpoint = endpoint;
-            entry->requests = load.requests;
-            entry->prompt_tokens = load.promptTokens;
-            entry->memory_tokens = load.memoryTokens;
-            target.loads.push_back(std::move(entry));
-        }
-        target.adapter_uses = encodeUses(inHeartbeat.adapterUses);
-        target.adapters_running = encodeUses(inHeartbeat.adaptersRunning);
+        for (const auto &[endpoint, load] : inHeartbeat.loads)
+            target.loads.emplace_back(endpoint, static_cast<float>(load.promptTokens),
+                                      static_cast<float>(load.memoryTokens), load.requests);
+        target.adapter_uses = inHeartbeat.adapterUses;
+        target.adapters_running = inHeartbeat.adaptersRunning;
+        for (const answer_pause &seen : inHeartbeat.pauses)
+            target.pauses.emplace_back(seen.endpoint, static_cast<int>(seen.pause.count()));
         body.Set(std::move(target));
     }
 
@@ -174,16 +159,18 @@
 
 message decodeHeartbeat(const wire::HeartbeatT &inBody)
 {
-    heartbeat decoded{
-        .operatorEnd = inBody.operator_end, .draining = inBody.draining, .heard = inBody.heard};
+    heartbeat decoded{.operatorEnd = inBody.operator_end,
+                      .draining = inBody.draining,
+                      .hearsReceiver = inBody.hears_receiver,
+                      .adapterUses = inBody.adapter_uses,
+                      .adaptersRunning = inBody.adapters_running};
     for (const auto &use : inBody.account_uses)
         decoded.accountUses.push_back({use->account, use->amount});
-    for (const auto &load : inBody.loads)
-        decoded.loads[load->endpoint] = {load->requests, load->prompt_tokens, load->memory_tokens};
-    for (const auto &use : inBody.adapter_uses)
-        decoded.adapterUses.push_back({use->endpoint, use->adapter});
-    for (const auto &use : inBody.adapters_running)
-        decoded.adaptersRunning.push_back({use->endpoint, use->adapter});
+    for (const wire::AnswerPause &seen : inBody.pauses)
+        decoded.pauses.push_back({seen.endpoint(), std::chrono::milliseconds(seen.pause_ms())});
+    for (const wire::EndpointLoad &load : inBody.loads)
+        decoded.loads[load.endpoint()]
+            = {load.requests(), load.prompt_tokens(), load.memory_tokens()};
     return decoded;
 }
 
--- a/corneltally/fleet/fleet_messages.h
+++ b/corneltally/fleet/fleet_messages.h
@@ -29,13 +29,13 @@
     friend bool operator==(const hello &, const hello &) = default;
 };
 
-/// A request was sent for an adapter.
-struct adapter_use
+/// Longest pause between the events of an answer of an endpoint.
+struct answer_pause
 {
-    std::string endpoint;
-    std::string adapter;
+    engines::endpoint_digest endpoint = 0;
+    std::chrono::milliseconds pause{};
 
-    friend bool operator==(const adapter_use &, const adapter_use &) = default;
+    friend auto operator<=>(const answer_pause &, const answer_pause &) = default;
 };
 
 /// Sent several times a second.
@@ -43,13 +43,16 @@
 {
     std::uint64_t operatorEnd = 0;
     bool draining = false;
-    /// Instances that the sender hears.
-    std::vector<std::string> heard;
+    /// Whether the sender hears the receiver.
+    bool hearsReceiver = false;
     std::vector<limits::account_use> accountUses;
-    std::map<std::string, engines::endpoint_load, std::less<>> loads;
-    /// Requests that were sent since the last heartbeat, and those that run.
-    std::vector<adapter_use> adapterUses;
-    std::vector<adapter_use> adaptersRunning;
+    std::map<engines::endpoint_digest, engines::endpoint_load> loads;
+    /// Adapters that requests were sent for since the last heartbeat, and those that requests run
+    /// on.
+    std::vector<engines::adapter_digest> adapterUses;
+    std::vector<engines::adapter_digest> adaptersRunning;
+    /// Pauses that the sender saw since the last heartbeat.
+    std::vector<answer_pause> pauses;
 
     friend bool operator==(const heartbeat &, const heartbeat &) = default;
 };
--- a/corneltally/fleet/holder_claims.cpp
+++ b/corneltally/fleet/holder_claims.cpp
@@ -60,11 +60,15 @@
     const core::duration age = inNow - mConfirmedAt;
     if (age < mSettings.lookAge)
         return true;
-    return age < mSettings.promisedLookAge
-        && std::ranges::all_of(mMembers, [&](const std::string &inMember) {
-               const auto found = mHeardBy.find(inMember);
-               return found != mHeardBy.end() && inNow - found->second < mSettings.promiseAge;
-           });
+    return age < mSettings.promisedLookAge && isHeardByAll(mSettings.promiseAge, inNow);
+}
+
+bool holder_claims::isHeardByAll(core::duration inAge, core::time_point inNow) const
+{
+    return std::ranges::all_of(mMembers, [&](const std::string &inMember) {
+        const auto found = mHeardBy.find(inMember);
+        return found != mHeardBy.end() && inNow - found->second < inAge;
+    });
 }
 
 void holder_claims::heardBy(std::string_view inInstance, core::time_point inNow)
@@ -110,7 +114,7 @@
                                                core::time_point inNow) const
 {
     std::vector<std::string> claims;
-    if (!mFirstConfirmed || inNow - mConfirmedAt >= mSettings.lookAge)
+    if (!mFirstConfirmed)
         return claims;
     for (const located &engine : inEngines) {
         const claim *holder = find(engine.name);
--- a/corneltally/fleet/holder_claims.h
+++ b/corneltally/fleet/holder_claims.h
@@ -33,6 +33,8 @@
     /// An instance that was not heard for this long loses its engines. Most cuts and restarts are
     /// shorter, and a holder that comes back goes on at once, a successor has to wait.
     core::duration silence = std::chrono::milliseconds(7000);
+    /// A claim is appended only behind a look that is younger than this.
+    core::duration claimLookAge = std::chrono::milliseconds(250);
     /// Free engines are claimed only after this time, when the live instances know each other.
     core::duration firstClaim = std::chrono::milliseconds(600);
 };
@@ -104,10 +106,19 @@
     /// this one claims engines of others only after the silence time from then.
     void recorded(core::time_point inNow) { mRecordedAt = inNow; }
 
+    /// Whether all other instances that may exist have said within a time that they hear this one.
+    bool isHeardByAll(core::duration inAge, core::time_point inNow) const;
+
+    /// Whether the last look at the claims is recent enough to append a claim behind it.
+    bool hasFreshLook(core::time_point inNow) const
+    {
+        return inNow - mConfirmedAt < mSettings.claimLookAge;
+    }
+
     /// All other instances that may exist.
     void setMembers(std::vector<std::string> inMembers) { mMembers = std::move(inMembers); }
 
-    /// Engines that this instance should claim now, of those that exist.
+    /// Engines that this instance should claim, of those that exist, once its look is fresh.
     std::vector<std::string> wanted(const std::vector<located> &inEngines,
                                     const std::vector<located> &inLiveInstances,
                                     core::time_point inNow) const;
--- a/corneltally/fleet/mesh_messages.h
+++ b/corneltally/fleet/mesh_messages.h
@@ -45,9 +45,10 @@
 struct heartbeat_part
 {
     std::vector<limits::account_use> accountUses;
-    std::map<std::string, engines::endpoint_load, std::less<>> loads;
-    std::vector<adapter_use> adapterUses;
-    std::vector<adapter_use> adaptersRunning;
+    std::map<engines::endpoint_digest, engines::endpoint_load> loads;
+    std::vector<engines::adapter_digest> adapterUses;
+    std::vector<engines::adapter_digest> adaptersRunning;
+    std::vector<answer_pause> pauses;
 };
 
 } // namespace corneltally::fleet
--- a/corneltally/fleet/mesh_service.cpp
+++ b/corneltally/fleet/mesh_service.cpp
@@ -247,7 +247,7 @@
     const core::time_point now = core::boot_clock::now();
     known_instance &known = mInstances.at(inInstance);
     known.heardAt = now;
-    if (std::ranges::find(inHeartbeat.heard, mOptions.self.instance) != inHeartbeat.heard.end())
+    if (inHeartbeat.hearsReceiver)
         known.hearsSelfAt = now;
     if (!known.live) {
         known.live = true;
@@ -339,12 +339,16 @@
                    .accountUses = inPart.accountUses,
                    .loads = inPart.loads,
                    .adapterUses = inPart.adapterUses,
-                   .adaptersRunning = inPart.adaptersRunning};
-    for (const auto &[name, known] : mInstances) {
-        if (known.live)
-            beat.heard.push_back(name);
+                   .adaptersRunning = inPart.adaptersRunning,
+                   .pauses = inPart.pauses};
+    const core::time_point now = core::boot_clock::now();
+    const std::string toSilent = encode(beat, now);
+    beat.hearsReceiver = true;
+    const std::string toLive = encode(beat, now);
+    for (auto &[name, known] : mInstances) {
+        if (known.link.connection)
+            known.link.connection->send(known.live ? toLive : toSilent);
     }
-    send({"", beat});
 }
 
 void mesh_service::send(const mesh_send &inSend)
--- a/corneltally/forwarding/forward_context.h
+++ b/corneltally/forwarding/forward_context.h
@@ -76,7 +76,9 @@
     /// Newest versions that the operator named, by "model/adapter".
     std::map<std::string, std::uint64_t, std::less<>> namedVersions;
     /// Adapters that requests were sent for since the last heartbeat.
-    std::vector<fleet::adapter_use> adapterUses;
+    std::vector<engines::adapter_digest> adapterUses;
+    /// Longest pauses of answers since the last heartbeat.
+    std::vector<fleet::answer_pause> pauses;
     /// When this instance ends, if it is stopping.
     std::optional<core::time_point> stopAt;
 };
--- a/corneltally/forwarding/forward_run.cpp
+++ b/corneltally/forwarding/forward_run.cpp
@@ -132,6 +132,8 @@
         mWork.model = mTerms.model;
         mWork.adapter = mTerms.adapter;
         mWork.parts = mTerms.parts;
+        mWork.expectedTokens = mTerms.expectedTokens;
+        mWork.targetPause = mRoute->targetPause;
     }
     return true;
 }
@@ -196,7 +198,7 @@
         target.recentParts[name] = now;
     if (!mWork.adapter.empty())
         mContext.adapterUses.push_back(
-            {mChoice.endpoint, engines::adapterKey(mWork.model, mWork.adapter)});
+            engines::digestOf(mChoice.endpoint, engines::adapterKey(mWork.model, mWork.adapter)));
     platform::sending_terms terms{
         .timeLeft = std::chrono::duration_cast<milliseconds>(
             std::min(mCallerUntil, mAnswerBy + mContext.settings.answerMargin) - now),
@@ -239,6 +241,16 @@
     mPromptCounted = true;
 }
 
+/// Notes the pauses of a stream.
+void forward_run::eventsSeen()
+{
+    const core::time_point now = core::boot_clock::now();
+    if (mFirstByteAt)
+        mLongestPause = std::max(mLongestPause, now - mLastByteAt);
+    mLastByteAt = now;
+    firstEventSeen();
+}
+
 void forward_run::firstEventSeen()
 {
     if (!mFirstByteAt)
--- a/corneltally/forwarding/forward_run.h
+++ b/corneltally/forwarding/forward_run.h
@@ -81,6 +81,8 @@
     void tellRunning(const engines::endpoint &inTarget, bool inRunning);
     void beginLoad();
     void endLoad();
+    void reportPause(const engines::endpoint &inTarget);
+    void eventsSeen();
     void firstEventSeen();
     core::duration timeLeft() const;
     core::duration retryAfter() const;
@@ -106,6 +108,8 @@
     core::time_point mWaitingSince;
     core::time_point mSentAt;
     std::optional<core::time_point> mFirstByteAt;
+    core::time_point mLastByteAt;
+    core::duration mLongestPause{};
     std::unique_ptr<http1::client_connection> mUpstream;
     http1::response_head mHead;
     std::string mBody;
--- a/corneltally/forwarding/forward_run_answer.cpp
+++ b/corneltally/forwarding/forward_run_answer.cpp
@@ -34,6 +34,14 @@
     return body;
 }
 
+std::string_view toString(engines::endpoint_choice::readiness inState)
+{
+    using readiness = engines::endpoint_choice::readiness;
+    return inState == readiness::ready   ? "resident"
+        : inState == readiness::arriving ? "arriving"
+                                         : "to_load";
+}
+
 std::optional<long long> eventNumber(std::string_view inId)
 {
     long long number = 0;
@@ -101,7 +109,7 @@
     }
     if (bytes.empty())
         return;
-    firstEventSeen();
+    eventsSeen();
     if (!mAnswerBegun)
         beginAnswer(std::nullopt);
     mCaller.sendBody(bytes);
@@ -124,8 +132,10 @@
     const core::time_point now = core::boot_clock::now();
     firstEventSeen();
     engines::endpoint *target = mContext.book.find(mChoice.endpoint);
-    if (target != nullptr && target->entry.startedMs == mEndpointStart)
+    if (target != nullptr && target->entry.startedMs == mEndpointStart) {
         target->health.succeeded(*mFirstByteAt - mSentAt, now);
+        reportPause(*target);
+    }
     endLoad();
     mStatement = run_statement::ran;
     if (mWholeAnswer) {
@@ -141,6 +151,17 @@
     mCaller.endResponse();
 }
 
+/// Adds the longest pause of an answer to what the instances know of the endpoint. The pause of one
+/// that went on at another endpoint says nothing.
+void forward_run::reportPause(const engines::endpoint &inTarget)
+{
+    if (mSends > 1 || mLongestPause < engines::endpoint_book::sReadingPause)
+        return;
+    mContext.book.notePause(inTarget.digest, mLongestPause);
+    mContext.pauses.push_back(
+        {inTarget.digest, std::chrono::duration_cast<milliseconds>(mLongestPause)});
+}
+
 /// Passes the answer of an endpoint on that has failed.
 void forward_run::passFailure()
 {
@@ -239,6 +260,8 @@
                          ? inMs(now - target->holderReportAt)
                          : -1},
                     {"sent_ms", mSends > 0 ? inMs(mSentAt - mRequest.arrived) : -1},
+                    {"adapter_state", toString(mChoice.state)},
+                    {"longest_pause_ms", inMs(mLongestPause)},
                     {"first_ms", mFirstByteAt ? inMs(*mFirstByteAt - mRequest.arrived) : -1},
                     {"ms", inMs(now - mRequest.arrived)}});
     const auto done = mDone;
--- a/corneltally/forwarding/front_service.cpp
+++ b/corneltally/forwarding/front_service.cpp
@@ -211,10 +211,11 @@
     if (const auto *state = std::get_if<fleet::engine_state>(&inReceived.body)) {
         engineStateReceived(inReceived.instance, *state);
     } else if (const auto *beat = std::get_if<fleet::heartbeat>(&inReceived.body)) {
-        std::set<std::pair<std::string, std::string>> running;
-        for (const fleet::adapter_use &use : beat->adaptersRunning)
-            running.emplace(use.endpoint, use.adapter);
-        mContext.book.applyPeerLoads(inReceived.instance, beat->loads, std::move(running), now);
+        mContext.book.applyPeerLoads(inReceived.instance, beat->loads,
+                                     {beat->adaptersRunning.begin(), beat->adaptersRunning.end()},
+                                     now);
+        for (const fleet::answer_pause &seen : beat->pauses)
+            mContext.book.notePause(seen.endpoint, seen.pause);
         mContext.allowance.applyPeer(inReceived.instance, inReceived.incarnation, beat->accountUses,
                                      now);
     }
@@ -225,11 +226,12 @@
     fleet::heartbeat_part part{.accountUses = mContext.allowance.ownUses()};
     for (const auto &[id, target] : mContext.book.all()) {
         if (target.own.requests > 0)
-            part.loads[id] = target.own;
+            part.loads[target.digest] = target.own;
         for (const auto &[adapter, count] : target.ownRunning)
-            part.adaptersRunning.push_back({id, adapter});
+            part.adaptersRunning.push_back(engines::digestOf(id, adapter));
     }
     part.adapterUses = std::exchange(mContext.adapterUses, {});
+    part.pauses = std::exchange(mContext.pauses, {});
     mContext.registry.post("orders",
                            orders::local_adapter_uses{part.adapterUses, part.adaptersRunning});
     mContext.registry.post("mesh", std::move(part));
--- a/corneltally/orders/engine_keeper.cpp
+++ b/corneltally/orders/engine_keeper.cpp
@@ -437,6 +437,16 @@
     }));
 }
 
+std::vector<std::string> engine_keeper::knownAdapters() const
+{
+    std::vector<std::string> names;
+    for (const auto &[key, version] : mVersions)
+        names.push_back(key);
+    for (const auto &[key, arriving] : mArriving)
+        names.push_back(key);
+    return names;
+}
+
 engines::residency engine_keeper::adapters() const
 {
     engines::residency adapters;
--- a/corneltally/orders/engine_keeper.h
+++ b/corneltally/orders/engine_keeper.h
@@ -115,6 +115,8 @@
     bool inSync() const { return mOrders.has_value() && !mUnresolved; }
 
     engines::residency adapters() const;
+    /// All adapters that are there or on their way, also those that take no new requests.
+    std::vector<std::string> knownAdapters() const;
     std::vector<std::string> models() const { return mModels; }
     const engines::endpoint_entry &entry() const { return mEntry; }
     /// Changes with each change of adapters() or models().
--- a/corneltally/orders/order_messages.h
+++ b/corneltally/orders/order_messages.h
@@ -29,8 +29,8 @@
 /// requests run on now.
 struct local_adapter_uses
 {
-    std::vector<fleet::adapter_use> sent;
-    std::vector<fleet::adapter_use> running;
+    std::vector<engines::adapter_digest> sent;
+    std::vector<engines::adapter_digest> running;
 };
 
 /// State of an engine that this instance holds.
--- a/corneltally/orders/order_service.cpp
+++ b/corneltally/orders/order_service.cpp
@@ -19,6 +19,19 @@
 constexpr core::duration cTickPeriod = std::chrono::milliseconds(50);
 /// Pause between two attempts to claim engines.
 constexpr core::duration cClaimPause = std::chrono::milliseconds(400);
+/// Instances of a failure domain claim one after the other with this delay. Of two that append
+/// behind the same record one is refused, and each append wakes the reads of all instances.
+constexpr core::duration cClaimStep = std::chrono::milliseconds(100);
+/// Time for a look at the claims before another one is asked for.
+constexpr core::duration cLookTime = std::chrono::milliseconds(150);
+/// Claims on engines that are gone are removed together with other claims, or after this time.
+constexpr core::duration cObsoleteTime = std::chrono::seconds(4);
+/// While all other instances have said within this time that they hear this one, its right to
+/// order lasts for 11 s after a look, and its reads of the claims wait for the longer time. It
+/// leaves 7 s of orders when the store goes away.
+constexpr core::duration cHeardAge = std::chrono::milliseconds(1500);
+constexpr core::duration cCalmWait = std::chrono::milliseconds(4000);
+constexpr core::duration cShortWait = std::chrono::milliseconds(2200);
 /// The state of an engine is repeated this often for instances that missed it.
 constexpr core::duration cRepeatPeriod = std::chrono::seconds(2);
 
@@ -106,7 +119,7 @@
         else if (const auto *state = std::get_if<fleet::engine_state>(&inReceived.body))
             mElsewhere[state->endpoint] = state->adapters;
         else if (const auto *beat = std::get_if<fleet::heartbeat>(&inReceived.body)) {
-            if (std::ranges::find(beat->heard, mOptions.self.instance) != beat->heard.end())
+            if (beat->hearsReceiver)
                 mClaims.heardBy(inReceived.instance, core::boot_clock::now());
             used(inReceived.instance, beat->adapterUses, beat->adaptersRunning);
         }
@@ -132,6 +145,7 @@
 {
     // What the claims said before the pause is outdated; the next read confirms them anew.
     mClaims.distrust();
+    mRegistry.post("catalog", catalog::fleet_look{});
     for (auto &[engine, state] : mHeld)
         publish(engine, state, core::boot_clock::now());
 }
@@ -231,6 +245,25 @@
     }
 }
 
+/// Looks at the claims are rare while nobody can claim engines of this instance.
+void order_service::tendLooks(core::time_point inNow)
+{
+    const bool isCalm = mClaims.isHeardByAll(cHeardAge, inNow);
+    if (isCalm == mCalm)
+        return;
+    mCalm = isCalm;
+    mRegistry.post("catalog", catalog::fleet_wait_changed{isCalm ? cCalmWait : cShortWait});
+}
+
+/// Delay of this instance's claims behind those of others of its failure domain.
+core::duration order_service::claimDelay() const
+{
+    return cClaimStep * std::ranges::count_if(mLive, [this](const fleet::located &inOther) {
+               return inOther.failureDomain == mOptions.failureDomain
+                   && inOther.name < mOptions.self.instance;
+           });
+}
+
 void order_service::claimEngines(core::time_point inNow)
 {
     if (mAppendUnderWay || !mTopicLoaded || inNow < mClaimNotBefore)
@@ -239,10 +272,24 @@
     std::vector<store::record> records;
     for (const std::string &engine : mClaims.wanted(existing, mLive, inNow))
         records.push_back(fleet::claimRecord(engine, mOptions.self));
+    const core::duration delay = records.empty() ? cObsoleteTime : claimDelay();
     for (const std::string &engine : mClaims.obsolete(existing))
         records.push_back(fleet::removedClaim(engine));
-    if (records.empty())
+    if (records.empty()) {
+        mClaimWantedAt.reset();
         return;
+    }
+    if (!mClaimWantedAt)
+        mClaimWantedAt = inNow;
+    if (inNow - *mClaimWantedAt < delay)
+        return;
+    if (!mClaims.hasFreshLook(inNow)) {
+        if (inNow - mLookAskedAt >= cLookTime) {
+            mLookAskedAt = inNow;
+            mRegistry.post("catalog", catalog::fleet_look{});
+        }
+        return;
+    }
     mAppendUnderWay = true;
     mClaimNotBefore = inNow + cClaimPause;
     core::logEvent(core::log_level::info, "claim_appended",
@@ -275,20 +322,22 @@
 }
 
 void order_service::used(const std::string &inInstance,
-                         const std::vector<fleet::adapter_use> &inSent,
-                         const std::vector<fleet::adapter_use> &inRunning)
+                         const std::vector<engines::adapter_digest> &inSent,
+                         const std::vector<engines::adapter_digest> &inRunning)
 {
     const core::time_point now = core::boot_clock::now();
-    for (const fleet::adapter_use &use : inSent) {
-        const auto found = mHeld.find(use.endpoint);
-        if (found != mHeld.end())
-            found->second.keeper.used(use.adapter, now);
+    const std::set<engines::adapter_digest> running(inRunning.begin(), inRunning.end());
+    for (auto &[engine, state] : mHeld) {
+        std::set<std::string, std::less<>> runningHere;
+        for (const std::string &adapter : state.keeper.knownAdapters()) {
+            const engines::adapter_digest digest = engines::digestOf(engine, adapter);
+            if (std::ranges::find(inSent, digest) != inSent.end())
+                state.keeper.used(adapter, now);
+            if (running.contains(digest))
+                runningHere.insert(adapter);
+        }
+        state.keeper.runningSet(inInstance, std::move(runningHere), now);
     }
-    std::map<std::string, std::set<std::string, std::less<>>> running;
-    for (const fleet::adapter_use &use : inRunning)
-        running[use.endpoint].insert(use.adapter);
-    for (auto &[engine, state] : mHeld)
-        state.keeper.runningSet(inInstance, std::move(running[engine]), now);
 }
 
 void order_service::running(const std::string &inInstance, const fleet::adapter_running &inChange)
@@ -306,6 +355,7 @@
 void order_service::tick()
 {
     const core::time_point now = core::boot_clock::now();
+    tendLooks(now);
     claimEngines(now);
     for (auto &[engine, state] : mHeld) {
         pump(engine, state, now);
--- a/corneltally/orders/order_service.h
+++ b/corneltally/orders/order_service.h
@@ -62,12 +62,14 @@
     void topicUpdated(const catalog::fleet_topic_updated &inUpdate);
     void endpointChanged(const engines::endpoint_entry &inEntry);
     void endpointGone(const std::string &inId);
+    void tendLooks(core::time_point inNow);
+    core::duration claimDelay() const;
     void claimEngines(core::time_point inNow);
     void wanted(const fleet::load_wanted &inWanted, std::string_view inFrom);
     void missing(const fleet::adapter_missing &inMissing);
     void running(const std::string &inInstance, const fleet::adapter_running &inChange);
-    void used(const std::string &inInstance, const std::vector<fleet::adapter_use> &inSent,
-              const std::vector<fleet::adapter_use> &inRunning);
+    void used(const std::string &inInstance, const std::vector<engines::adapter_digest> &inSent,
+              const std::vector<engines::adapter_digest> &inRunning);
     void versionNamed(const catalog::adapter_version_named &inNamed);
     void describe(const std::string &inEngine);
     void tick();
@@ -97,6 +99,10 @@
     std::uint64_t mTopicEnd = 0;
     bool mAppendUnderWay = false;
     core::time_point mClaimNotBefore;
+    /// When there first was something to claim or to remove since the last append.
+    std::optional<core::time_point> mClaimWantedAt;
+    core::time_point mLookAskedAt;
+    bool mCalm = false;
     bool mTopicLoaded = false;
 };
 
--- a/corneltally/routing/request_terms.h
+++ b/corneltally/routing/request_terms.h
@@ -32,6 +32,8 @@
     /// Prompt and longest answer, if stated.
     std::optional<double> promptTokens;
     double answerTokens = 0;
+    /// Tokens that the caller expects of the answer; zero if it did not say.
+    double expectedTokens = 0;
     /// In the order of the prompt; the last one belongs to the request or its session.
     std::vector<prompt_part> parts;
     std::string lastEventId;
--- a/corneltally/store/topic_follower.h
+++ b/corneltally/store/topic_follower.h
@@ -90,6 +90,22 @@
             schedule(core::duration::zero());
     }
 
+    /// Changes the time that reads wait at the store, also of the one that is under way.
+    void setWait(core::duration inWait)
+    {
+        if (mSettings.wait == inWait)
+            return;
+        mSettings.wait = inWait;
+        restart();
+    }
+
+    /// Reads what there is without waiting at the store, so that the state is known as of now.
+    void look()
+    {
+        if (mLoaded)
+            read(core::duration::zero());
+    }
+
     /// Takes records that another instance has read, and puts the own reads off. Returns false if
     /// records between these and the own ones are missing; the next own read brings them.
     bool acceptRelayed(const topic_update &inUpdate)
@@ -113,22 +129,33 @@
 private:
     void next()
     {
-        mTimer.cancel();
-        mStartedAt = core::boot_clock::now();
-        const std::uint64_t read = ++mRead;
-        if (!mLoaded) {
-            mClient.readNewest(mTopic, mAfterKey, [this, read](const read_result &inResult) {
-                if (read == mRead)
-                    newestRead(inResult);
-            });
+        if (mLoaded) {
+            read(mSettings.wait);
             return;
         }
-        mClient.read(mTopic, mOffset, mSettings.wait, [this, read](const read_result &inResult) {
-            if (read == mRead)
+        const std::uint64_t number = beginRead();
+        mClient.readNewest(mTopic, mAfterKey, [this, number](const read_result &inResult) {
+            if (number == mRead)
+                newestRead(inResult);
+        });
+    }
+
+    void read(core::duration inWait)
+    {
+        const std::uint64_t number = beginRead();
+        mClient.read(mTopic, mOffset, inWait, [this, number](const read_result &inResult) {
+            if (number == mRead)
                 recordsRead(inResult);
         });
     }
 
+    std::uint64_t beginRead()
+    {
+        mTimer.cancel();
+        mStartedAt = core::boot_clock::now();
+        return ++mRead;
+    }
+
     void schedule(core::duration inDelay)
     {
         mTimer.cancel();
--- a/schemas/fleet_generated.h
+++ b/schemas/fleet_generated.h
@@ -25,12 +25,8 @@
 struct AccountUseT;
 
 struct EndpointLoad;
-struct EndpointLoadBuilder;
-struct EndpointLoadT;
 
-struct AdapterUse;
-struct AdapterUseBuilder;
-struct AdapterUseT;
+struct AnswerPause;
 
 struct Heartbeat;
 struct HeartbeatBuilder;
@@ -290,6 +286,84 @@
 bool VerifyBody(flatbuffers::Verifier &verifier, const void *obj, Body type);
 bool VerifyBodyVector(flatbuffers::Verifier &verifier, const flatbuffers::Vector<flatbuffers::Offset<void>> *values, const flatbuffers::Vector<Body> *types);
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) EndpointLoad FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t endpoint_;
+  float prompt_tokens_;
+  float memory_tokens_;
+  int32_t requests_;
+  int32_t padding0__;
+
+ public:
+  struct Traits;
+  EndpointLoad()
+      : endpoint_(0),
+        prompt_tokens_(0),
+        memory_tokens_(0),
+        requests_(0),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  EndpointLoad(uint64_t _endpoint, float _prompt_tokens, float _memory_tokens, int32_t _requests)
+      : endpoint_(flatbuffers::EndianScalar(_endpoint)),
+        prompt_tokens_(flatbuffers::EndianScalar(_prompt_tokens)),
+        memory_tokens_(flatbuffers::EndianScalar(_memory_tokens)),
+        requests_(flatbuffers::EndianScalar(_requests)),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  uint64_t endpoint() const {
+    return flatbuffers::EndianScalar(endpoint_);
+  }
+  float prompt_tokens() const {
+    return flatbuffers::EndianScalar(prompt_tokens_);
+  }
+  float memory_tokens() const {
+    return flatbuffers::EndianScalar(memory_tokens_);
+  }
+  int32_t requests() const {
+    return flatbuffers::EndianScalar(requests_);
+  }
+};
+FLATBUFFERS_STRUCT_END(EndpointLoad, 24);
+
+struct EndpointLoad::Traits {
+  using type = EndpointLoad;
+};
+
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) AnswerPause FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t endpoint_;
+  int32_t pause_ms_;
+  int32_t padding0__;
+
+ public:
+  struct Traits;
+  AnswerPause()
+      : endpoint_(0),
+        pause_ms_(0),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  AnswerPause(uint64_t _endpoint, int32_t _pause_ms)
+      : endpoint_(flatbuffers::EndianScalar(_endpoint)),
+        pause_ms_(flatbuffers::EndianScalar(_pause_ms)),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  uint64_t endpoint() const {
+    return flatbuffers::EndianScalar(endpoint_);
+  }
+  int32_t pause_ms() const {
+    return flatbuffers::EndianScalar(pause_ms_);
+  }
+};
+FLATBUFFERS_STRUCT_END(AnswerPause, 16);
+
+struct AnswerPause::Traits {
+  using type = AnswerPause;
+};
+
 struct HelloT : public flatbuffers::NativeTable {
   typedef Hello TableType;
   std::string instance{};
@@ -515,208 +589,16 @@
 
 flatbuffers::Offset<AccountUse> CreateAccountUse(flatbuffers::FlatBufferBuilder &_fbb, const AccountUseT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
-struct EndpointLoadT : public flatbuffers::NativeTable {
-  typedef EndpointLoad TableType;
-  std::string endpoint{};
-  int32_t requests = 0;
-  double prompt_tokens = 0.0;
-  double memory_tokens = 0.0;
-};
-
-struct EndpointLoad FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
-  typedef EndpointLoadT NativeTableType;
-  typedef EndpointLoadBuilder Builder;
-  struct Traits;
-  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_ENDPOINT = 4,
-    VT_REQUESTS = 6,
-    VT_PROMPT_TOKENS = 8,
-    VT_MEMORY_TOKENS = 10
-  };
-  const flatbuffers::String *endpoint() const {
-    return GetPointer<const flatbuffers::String *>(VT_ENDPOINT);
-  }
-  int32_t requests() const {
-    return GetField<int32_t>(VT_REQUESTS, 0);
-  }
-  double prompt_tokens() const {
-    return GetField<double>(VT_PROMPT_TOKENS, 0.0);
-  }
-  double memory_tokens() const {
-    return GetField<double>(VT_MEMORY_TOKENS, 0.0);
-  }
-  bool Verify(flatbuffers::Verifier &verifier) const {
-    return VerifyTableStart(verifier) &&
-           VerifyOffsetRequired(verifier, VT_ENDPOINT) &&
-           verifier.VerifyString(endpoint()) &&
-           VerifyField<int32_t>(verifier, VT_REQUESTS, 4) &&
-           VerifyField<double>(verifier, VT_PROMPT_TOKENS, 8) &&
-           VerifyField<double>(verifier, VT_MEMORY_TOKENS, 8) &&
-           verifier.EndTable();
-  }
-  EndpointLoadT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  void UnPackTo(EndpointLoadT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  static flatbuffers::Offset<EndpointLoad> Pack(flatbuffers::FlatBufferBuilder &_fbb, const EndpointLoadT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
-};
-
-struct EndpointLoadBuilder {
-  typedef EndpointLoad Table;
-  flatbuffers::FlatBufferBuilder &fbb_;
-  flatbuffers::uoffset_t start_;
-  void add_endpoint(flatbuffers::Offset<flatbuffers::String> endpoint) {
-    fbb_.AddOffset(EndpointLoad::VT_ENDPOINT, endpoint);
-  }
-  void add_requests(int32_t requests) {
-    fbb_.AddElement<int32_t>(EndpointLoad::VT_REQUESTS, requests, 0);
-  }
-  void add_prompt_tokens(double prompt_tokens) {
-    fbb_.AddElement<double>(EndpointLoad::VT_PROMPT_TOKENS, prompt_tokens, 0.0);
-  }
-  void add_memory_tokens(double memory_tokens) {
-    fbb_.AddElement<double>(EndpointLoad::VT_MEMORY_TOKENS, memory_tokens, 0.0);
-  }
-  explicit EndpointLoadBuilder(flatbuffers::FlatBufferBuilder &_fbb)
-        : fbb_(_fbb) {
-    start_ = fbb_.StartTable();
-  }
-  flatbuffers::Offset<EndpointLoad> Finish() {
-    const auto end = fbb_.EndTable(start_);
-    auto o = flatbuffers::Offset<EndpointLoad>(end);
-    fbb_.Required(o, EndpointLoad::VT_ENDPOINT);
-    return o;
-  }
-};
-
-inline flatbuffers::Offset<EndpointLoad> CreateEndpointLoad(
-    flatbuffers::FlatBufferBuilder &_fbb,
-    flatbuffers::Offset<flatbuffers::String> endpoint = 0,
-    int32_t requests = 0,
-    double prompt_tokens = 0.0,
-    double memory_tokens = 0.0) {
-  EndpointLoadBuilder builder_(_fbb);
-  builder_.add_memory_tokens(memory_tokens);
-  builder_.add_prompt_tokens(prompt_tokens);
-  builder_.add_requests(requests);
-  builder_.add_endpoint(endpoint);
-  return builder_.Finish();
-}
-
-struct EndpointLoad::Traits {
-  using type = EndpointLoad;
-  static auto constexpr Create = CreateEndpointLoad;
-};
-
-inline flatbuffers::Offset<EndpointLoad> CreateEndpointLoadDirect(
-    flatbuffers::FlatBufferBuilder &_fbb,
-    const char *endpoint = nullptr,
-    int32_t requests = 0,
-    double prompt_tokens = 0.0,
-    double memory_tokens = 0.0) {
-  auto endpoint__ = endpoint ? _fbb.CreateString(endpoint) : 0;
-  return corneltally::fleet_wire::CreateEndpointLoad(
-      _fbb,
-      endpoint__,
-      requests,
-      prompt_tokens,
-      memory_tokens);
-}
-
-flatbuffers::Offset<EndpointLoad> CreateEndpointLoad(flatbuffers::FlatBufferBuilder &_fbb, const EndpointLoadT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
-
-struct AdapterUseT : public flatbuffers::NativeTable {
-  typedef AdapterUse TableType;
-  std::string endpoint{};
-  std::string adapter{};
-};
-
-struct AdapterUse FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
-  typedef AdapterUseT NativeTableType;
-  typedef AdapterUseBuilder Builder;
-  struct Traits;
-  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_ENDPOINT = 4,
-    VT_ADAPTER = 6
-  };
-  const flatbuffers::String *endpoint() const {
-    return GetPointer<const flatbuffers::String *>(VT_ENDPOINT);
-  }
-  const flatbuffers::String *adapter() const {
-    return GetPointer<const flatbuffers::String *>(VT_ADAPTER);
-  }
-  bool Verify(flatbuffers::Verifier &verifier) const {
-    return VerifyTableStart(verifier) &&
-           VerifyOffsetRequired(verifier, VT_ENDPOINT) &&
-           verifier.VerifyString(endpoint()) &&
-           VerifyOffsetRequired(verifier, VT_ADAPTER) &&
-           verifier.VerifyString(adapter()) &&
-           verifier.EndTable();
-  }
-  AdapterUseT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  void UnPackTo(AdapterUseT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  static flatbuffers::Offset<AdapterUse> Pack(flatbuffers::FlatBufferBuilder &_fbb, const AdapterUseT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
-};
-
-struct AdapterUseBuilder {
-  typedef AdapterUse Table;
-  flatbuffers::FlatBufferBuilder &fbb_;
-  flatbuffers::uoffset_t start_;
-  void add_endpoint(flatbuffers::Offset<flatbuffers::String> endpoint) {
-    fbb_.AddOffset(AdapterUse::VT_ENDPOINT, endpoint);
-  }
-  void add_adapter(flatbuffers::Offset<flatbuffers::String> adapter) {
-    fbb_.AddOffset(AdapterUse::VT_ADAPTER, adapter);
-  }
-  explicit AdapterUseBuilder(flatbuffers::FlatBufferBuilder &_fbb)
-        : fbb_(_fbb) {
-    start_ = fbb_.StartTable();
-  }
-  flatbuffers::Offset<AdapterUse> Finish() {
-    const auto end = fbb_.EndTable(start_);
-    auto o = flatbuffers::Offset<AdapterUse>(end);
-    fbb_.Required(o, AdapterUse::VT_ENDPOINT);
-    fbb_.Required(o, AdapterUse::VT_ADAPTER);
-    return o;
-  }
-};
-
-inline flatbuffers::Offset<AdapterUse> CreateAdapterUse(
-    flatbuffers::FlatBufferBuilder &_fbb,
-    flatbuffers::Offset<flatbuffers::String> endpoint = 0,
-    flatbuffers::Offset<flatbuffers::String> adapter = 0) {
-  AdapterUseBuilder builder_(_fbb);
-  builder_.add_adapter(adapter);
-  builder_.add_endpoint(endpoint);
-  return builder_.Finish();
-}
-
-struct AdapterUse::Traits {
-  using type = AdapterUse;
-  static auto constexpr Create = CreateAdapterUse;
-};
-
-inline flatbuffers::Offset<AdapterUse> CreateAdapterUseDirect(
-    flatbuffers::FlatBufferBuilder &_fbb,
-    const char *endpoint = nullptr,
-    const char *adapter = nullptr) {
-  auto endpoint__ = endpoint ? _fbb.CreateString(endpoint) : 0;
-  auto adapter__ = adapter ? _fbb.CreateString(adapter) : 0;
-  return corneltally::fleet_wire::CreateAdapterUse(
-      _fbb,
-      endpoint__,
-      adapter__);
-}
-
-flatbuffers::Offset<AdapterUse> CreateAdapterUse(flatbuffers::FlatBufferBuilder &_fbb, const AdapterUseT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
-
 struct HeartbeatT : public flatbuffers::NativeTable {
   typedef Heartbeat TableType;
   uint64_t operator_end = 0;
   bool draining = false;
-  std::vector<std::string> heard{};
+  bool hears_receiver = false;
   std::vector<std::unique_ptr<corneltally::fleet_wire::AccountUseT>> account_uses{};
-  std::vector<std::unique_ptr<corneltally::fleet_wire::EndpointLoadT>> loads{};
-  std::vector<std::unique_ptr<corneltally::fleet_wire::AdapterUseT>> adapter_uses{};
-  std::vector<std::unique_ptr<corneltally::fleet_wire::AdapterUseT>> adapters_running{};
+  std::vector<corneltally::fleet_wire::EndpointLoad> loads{};
+  std::vector<uint64_t> adapter_uses{};
+  std::vector<uint64_t> adapters_running{};
+  std::vector<corneltally::fleet_wire::AnswerPause> pauses{};
   HeartbeatT() = default;
   HeartbeatT(const HeartbeatT &o);
   HeartbeatT(HeartbeatT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -730,11 +612,12 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_OPERATOR_END = 4,
     VT_DRAINING = 6,
-    VT_HEARD = 8,
+    VT_HEARS_RECEIVER = 8,
     VT_ACCOUNT_USES = 10,
     VT_LOADS = 12,
     VT_ADAPTER_USES = 14,
-    VT_ADAPTERS_RUNNING = 16
+    VT_ADAPTERS_RUNNING = 16,
+    VT_PAUSES = 18
   };
   uint64_t operator_end() const {
     return GetField<uint64_t>(VT_OPERATOR_END, 0);
@@ -742,40 +625,40 @@
   bool draining() const {
     return GetField<uint8_t>(VT_DRAINING, 0) != 0;
   }
-  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *heard() const {
-    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_HEARD);
+  bool hears_receiver() const {
+    return GetField<uint8_t>(VT_HEARS_RECEIVER, 0) != 0;
   }
   const flatbuffers::Vector<flatbuffers::Offset<corneltally::fleet_wire::AccountUse>> *account_uses() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<corneltally::fleet_wire::AccountUse>> *>(VT_ACCOUNT_USES);
   }
-  const flatbuffers::Vector<flatbuffers::Offset<corneltally::fleet_wire::EndpointLoad>> *loads() const {
-    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<corneltally::fleet_wire::EndpointLoad>> *>(VT_LOADS);
+  const flatbuffers::Vector<const corneltally::fleet_wire::EndpointLoad *> *loads() const {
+    return GetPointer<const flatbuffers::Vector<const corneltally::fleet_wire::EndpointLoad *> *>(VT_LOADS);
   }
-  const flatbuffers::Vector<flatbuffers::Offset<corneltally::fleet_wire::AdapterUse>> *adapter_uses() const {
-    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<corneltally::fleet_wire::AdapterUse>> *>(VT_ADAPTER_USES);
+  const flatbuffers::Vector<uint64_t> *adapter_uses() const {
+    return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_ADAPTER_USES);
   }
-  const flatbuffers::Vector<flatbuffers::Offset<corneltally::fleet_wire::AdapterUse>> *adapters_running() const {
-    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<corneltally::fleet_wire::AdapterUse>> *>(VT_ADAPTERS_RUNNING);
+  const flatbuffers::Vector<uint64_t> *adapters_running() const {
+    return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_ADAPTERS_RUNNING);
+  }
+  const flatbuffers::Vector<const corneltally::fleet_wire::AnswerPause *> *pauses() const {
+    return GetPointer<const flatbuffers::Vector<const corneltally::fleet_wire::AnswerPause *> *>(VT_PAUSES);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_OPERATOR_END, 8) &&
            VerifyField<uint8_t>(verifier, VT_DRAINING, 1) &&
-           VerifyOffset(verifier, VT_HEARD) &&
-           verifier.VerifyVector(heard()) &&
-           verifier.VerifyVectorOfStrings(heard()) &&
+           VerifyField<uint8_t>(verifier, VT_HEARS_RECEIVER, 1) &&
            VerifyOffset(verifier, VT_ACCOUNT_USES) &&
            verifier.VerifyVector(account_uses()) &&
            verifier.VerifyVectorOfTables(account_uses()) &&
            VerifyOffset(verifier, VT_LOADS) &&
            verifier.VerifyVector(loads()) &&
-           verifier.VerifyVectorOfTables(loads()) &&
            VerifyOffset(verifier, VT_ADAPTER_USES) &&
            verifier.VerifyVector(adapter_uses()) &&
-           verifier.VerifyVectorOfTables(adapter_uses()) &&
            VerifyOffset(verifier, VT_ADAPTERS_RUNNING) &&
            verifier.VerifyVector(adapters_running()) &&
-           verifier.VerifyVectorOfTables(adapters_running()) &&
+           VerifyOffset(verifier, VT_PAUSES) &&
+           verifier.VerifyVector(pauses()) &&
            verifier.EndTable();
   }
   HeartbeatT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -793,21 +676,24 @@
   void add_draining(bool draining) {
     fbb_.AddElement<uint8_t>(Heartbeat::VT_DRAINING, static_cast<uint8_t>(draining), 0);
   }
-  void add_heard(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> heard) {
-    fbb_.AddOffset(Heartbeat::VT_HEARD, heard);
+  void add_hears_receiver(bool hears_receiver) {
+    fbb_.AddElement<uint8_t>(Heartbeat::VT_HEARS_RECEIVER, static_cast<uint8_t>(hears_receiver), 0);
   }
   void add_account_uses(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<corneltally::fleet_wire::AccountUse>>> account_uses) {
     fbb_.AddOffset(Heartbeat::VT_ACCOUNT_USES, account_uses);
   }
-  void add_loads(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<corneltally::fleet_wire::EndpointLoad>>> loads) {
+  void add_loads(flatbuffers::Offset<flatbuffers::Vector<const corneltally::fleet_wire::EndpointLoad *>> loads) {
     fbb_.AddOffset(Heartbeat::VT_LOADS, loads);
   }
-  void add_adapter_uses(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<corneltally::fleet_wire::AdapterUse>>> adapter_uses) {
+  void add_adapter_uses(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> adapter_uses) {
     fbb_.AddOffset(Heartbeat::VT_ADAPTER_USES, adapter_uses);
   }
-  void add_adapters_running(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<corneltally::fleet_wire::AdapterUse>>> adapters_running) {
+  void add_adapters_running(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> adapters_running) {
     fbb_.AddOffset(Heartbeat::VT_ADAPTERS_RUNNING, adapters_running);
   }
+  void add_pauses(flatbuffers::Offset<flatbuffers::Vector<const corneltally::fleet_wire::AnswerPause *>> pauses) {
+    fbb_.AddOffset(Heartbeat::VT_PAUSES, pauses);
+  }
   explicit HeartbeatBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -823,18 +709,20 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t operator_end = 0,
     bool draining = false,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> heard = 0,
+    bool hears_receiver = false,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<corneltally::fleet_wire::AccountUse>>> account_uses = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<corneltally::fleet_wire::EndpointLoad>>> loads = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<corneltally::fleet_wire::AdapterUse>>> adapter_uses = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<corneltally::fleet_wire::AdapterUse>>> adapters_running = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<const corneltally::fleet_wire::EndpointLoad *>> loads = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> adapter_uses = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> adapters_running = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const corneltally::fleet_wire::AnswerPause *>> pauses = 0) {
   HeartbeatBuilder builder_(_fbb);
   builder_.add_operator_end(operator_end);
+  builder_.add_pauses(pauses);
   builder_.add_adapters_running(adapters_running);
   builder_.add_adapter_uses(adapter_uses);
   builder_.add_loads(loads);
   builder_.add_account_uses(account_uses);
-  builder_.add_heard(heard);
+  builder_.add_hears_receiver(hears_receiver);
   builder_.add_draining(draining);
   return builder_.Finish();
 }
@@ -848,25 +736,27 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t operator_end = 0,
     bool draining = false,
-    const std::vector<flatbuffers::Offset<flatbuffers::String>> *heard = nullptr,
+    bool hears_receiver = false,
     const std::vector<flatbuffers::Offset<corneltally::fleet_wire::AccountUse>> *account_uses = nullptr,
-    const std::vector<flatbuffers::Offset<corneltally::fleet_wire::EndpointLoad>> *loads = nullptr,
-    const std::vector<flatbuffers::Offset<corneltally::fleet_wire::AdapterUse>> *adapter_uses = nullptr,
-    const std::vector<flatbuffers::Offset<corneltally::fleet_wire::AdapterUse>> *adapters_running = nullptr) {
-  auto heard__ = heard ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*heard) : 0;
+    const std::vector<corneltally::fleet_wire::EndpointLoad> *loads = nullptr,
+    const std::vector<uint64_t> *adapter_uses = nullptr,
+    const std::vector<uint64_t> *adapters_running = nullptr,
+    const std::vector<corneltally::fleet_wire::AnswerPause> *pauses = nullptr) {
   auto account_uses__ = account_uses ? _fbb.CreateVector<flatbuffers::Offset<corneltally::fleet_wire::AccountUse>>(*account_uses) : 0;
-  auto loads__ = loads ? _fbb.CreateVector<flatbuffers::Offset<corneltally::fleet_wire::EndpointLoad>>(*loads) : 0;
-  auto adapter_uses__ = adapter_uses ? _fbb.CreateVector<flatbuffers::Offset<corneltally::fleet_wire::AdapterUse>>(*adapter_uses) : 0;
-  auto adapters_running__ = adapters_running ? _fbb.CreateVector<flatbuffers::Offset<corneltally::fleet_wire::AdapterUse>>(*adapters_running) : 0;
+  auto loads__ = loads ? _fbb.CreateVectorOfStructs<corneltally::fleet_wire::EndpointLoad>(*loads) : 0;
+  auto adapter_uses__ = adapter_uses ? _fbb.CreateVector<uint64_t>(*adapter_uses) : 0;
+  auto adapters_running__ = adapters_running ? _fbb.CreateVector<uint64_t>(*adapters_running) : 0;
+  auto pauses__ = pauses ? _fbb.CreateVectorOfStructs<corneltally::fleet_wire::AnswerPause>(*pauses) : 0;
   return corneltally::fleet_wire::CreateHeartbeat(
       _fbb,
       operator_end,
       draining,
-      heard__,
+      hears_receiver,
       account_uses__,
       loads__,
       adapter_uses__,
-      adapters_running__);
+      adapters_running__,
+      pauses__);
 }
 
 flatbuffers::Offset<Heartbeat> CreateHeartbeat(flatbuffers::FlatBufferBuilder &_fbb, const HeartbeatT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1881,92 +1771,27 @@
       _amount);
 }
 
-inline EndpointLoadT *EndpointLoad::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<EndpointLoadT>();
-  UnPackTo(_o.get(), _resolver);
-  return _o.release();
-}
-
-inline void EndpointLoad::UnPackTo(EndpointLoadT *_o, const flatbuffers::resolver_function_t *_resolver) const {
-  (void)_o;
-  (void)_resolver;
-  { auto _e = endpoint(); if (_e) _o->endpoint = _e->str(); }
-  { auto _e = requests(); _o->requests = _e; }
-  { auto _e = prompt_tokens(); _o->prompt_tokens = _e; }
-  { auto _e = memory_tokens(); _o->memory_tokens = _e; }
-}
-
-inline flatbuffers::Offset<EndpointLoad> EndpointLoad::Pack(flatbuffers::FlatBufferBuilder &_fbb, const EndpointLoadT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return CreateEndpointLoad(_fbb, _o, _rehasher);
-}
-
-inline flatbuffers::Offset<EndpointLoad> CreateEndpointLoad(flatbuffers::FlatBufferBuilder &_fbb, const EndpointLoadT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
-  (void)_rehasher;
-  (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const EndpointLoadT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _endpoint = _fbb.CreateString(_o->endpoint);
-  auto _requests = _o->requests;
-  auto _prompt_tokens = _o->prompt_tokens;
-  auto _memory_tokens = _o->memory_tokens;
-  return corneltally::fleet_wire::CreateEndpointLoad(
-      _fbb,
-      _endpoint,
-      _requests,
-      _prompt_tokens,
-      _memory_tokens);
-}
-
-inline AdapterUseT *AdapterUse::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<AdapterUseT>();
-  UnPackTo(_o.get(), _resolver);
-  return _o.release();
-}
-
-inline void AdapterUse::UnPackTo(AdapterUseT *_o, const flatbuffers::resolver_function_t *_resolver) const {
-  (void)_o;
-  (void)_resolver;
-  { auto _e = endpoint(); if (_e) _o->endpoint = _e->str(); }
-  { auto _e = adapter(); if (_e) _o->adapter = _e->str(); }
-}
-
-inline flatbuffers::Offset<AdapterUse> AdapterUse::Pack(flatbuffers::FlatBufferBuilder &_fbb, const AdapterUseT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return CreateAdapterUse(_fbb, _o, _rehasher);
-}
-
-inline flatbuffers::Offset<AdapterUse> CreateAdapterUse(flatbuffers::FlatBufferBuilder &_fbb, const AdapterUseT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
-  (void)_rehasher;
-  (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const AdapterUseT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _endpoint = _fbb.CreateString(_o->endpoint);
-  auto _adapter = _fbb.CreateString(_o->adapter);
-  return corneltally::fleet_wire::CreateAdapterUse(
-      _fbb,
-      _endpoint,
-      _adapter);
-}
-
 inline HeartbeatT::HeartbeatT(const HeartbeatT &o)
       : operator_end(o.operator_end),
         draining(o.draining),
-        heard(o.heard) {
+        hears_receiver(o.hears_receiver),
+        loads(o.loads),
+        adapter_uses(o.adapter_uses),
+        adapters_running(o.adapters_running),
+        pauses(o.pauses) {
   account_uses.reserve(o.account_uses.size());
   for (const auto &account_uses_ : o.account_uses) { account_uses.emplace_back((account_uses_) ? new corneltally::fleet_wire::AccountUseT(*account_uses_) : nullptr); }
-  loads.reserve(o.loads.size());
-  for (const auto &loads_ : o.loads) { loads.emplace_back((loads_) ? new corneltally::fleet_wire::EndpointLoadT(*loads_) : nullptr); }
-  adapter_uses.reserve(o.adapter_uses.size());
-  for (const auto &adapter_uses_ : o.adapter_uses) { adapter_uses.emplace_back((adapter_uses_) ? new corneltally::fleet_wire::AdapterUseT(*adapter_uses_) : nullptr); }
-  adapters_running.reserve(o.adapters_running.size());
-  for (const auto &adapters_running_ : o.adapters_running) { adapters_running.emplace_back((adapters_running_) ? new corneltally::fleet_wire::AdapterUseT(*adapters_running_) : nullptr); }
 }
 
 inline HeartbeatT &HeartbeatT::operator=(HeartbeatT o) FLATBUFFERS_NOEXCEPT {
   std::swap(operator_end, o.operator_end);
   std::swap(draining, o.draining);
-  std::swap(heard, o.heard);
+  std::swap(hears_receiver, o.hears_receiver);
   std::swap(account_uses, o.account_uses);
   std::swap(loads, o.loads);
   std::swap(adapter_uses, o.adapter_uses);
   std::swap(adapters_running, o.adapters_running);
+  std::swap(pauses, o.pauses);
   return *this;
 }
 
@@ -1981,11 +1806,12 @@
   (void)_resolver;
   { auto _e = operator_end(); _o->operator_end = _e; }
   { auto _e = draining(); _o->draining = _e; }
-  { auto _e = heard(); if (_e) { _o->heard.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->heard[_i] = _e->Get(_i)->str(); } } }
+  { auto _e = hears_receiver(); _o->hears_receiver = _e; }
   { auto _e = account_uses(); if (_e) { _o->account_uses.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->account_uses[_i] = std::unique_ptr<corneltally::fleet_wire::AccountUseT>(_e->Get(_i)->UnPack(_resolver)); } } }
-  { auto _e = loads(); if (_e) { _o->loads.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->loads[_i] = std::unique_ptr<corneltally::fleet_wire::EndpointLoadT>(_e->Get(_i)->UnPack(_resolver)); } } }
-  { auto _e = adapter_uses(); if (_e) { _o->adapter_uses.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->adapter_uses[_i] = std::unique_ptr<corneltally::fleet_wire::AdapterUseT>(_e->Get(_i)->UnPack(_resolver)); } } }
-  { auto _e = adapters_running(); if (_e) { _o->adapters_running.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->adapters_running[_i] = std::unique_ptr<corneltally::fleet_wire::AdapterUseT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = loads(); if (_e) { _o->loads.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->loads[_i] = *_e->Get(_i); } } }
+  { auto _e = adapter_uses(); if (_e) { _o->adapter_uses.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->adapter_uses[_i] = _e->Get(_i); } } }
+  { auto _e = adapters_running(); if (_e) { _o->adapters_running.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->adapters_running[_i] = _e->Get(_i); } } }
+  { auto _e = pauses(); if (_e) { _o->pauses.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->pauses[_i] = *_e->Get(_i); } } }
 }
 
 inline flatbuffers::Offset<Heartbeat> Heartbeat::Pack(flatbuffers::FlatBufferBuilder &_fbb, const HeartbeatT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -1998,20 +1824,22 @@
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const HeartbeatT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _operator_end = _o->operator_end;
   auto _draining = _o->draining;
-  auto _heard = _o->heard.size() ? _fbb.CreateVectorOfStrings(_o->heard) : 0;
+  auto _hears_receiver = _o->hears_receiver;
   auto _account_uses = _o->account_uses.size() ? _fbb.CreateVector<flatbuffers::Offset<corneltally::fleet_wire::AccountUse>> (_o->account_uses.size(), [](size_t i, _VectorArgs *__va) { return CreateAccountUse(*__va->__fbb, __va->__o->account_uses[i].get(), __va->__rehasher); }, &_va ) : 0;
-  auto _loads = _o->loads.size() ? _fbb.CreateVector<flatbuffers::Offset<corneltally::fleet_wire::EndpointLoad>> (_o->loads.size(), [](size_t i, _VectorArgs *__va) { return CreateEndpointLoad(*__va->__fbb, __va->__o->loads[i].get(), __va->__rehasher); }, &_va ) : 0;
-  auto _adapter_uses = _o->adapter_uses.size() ? _fbb.CreateVector<flatbuffers::Offset<corneltally::fleet_wire::AdapterUse>> (_o->adapter_uses.size(), [](size_t i, _VectorArgs *__va) { return CreateAdapterUse(*__va->__fbb, __va->__o->adapter_uses[i].get(), __va->__rehasher); }, &_va ) : 0;
-  auto _adapters_running = _o->adapters_running.size() ? _fbb.CreateVector<flatbuffers::Offset<corneltally::fleet_wire::AdapterUse>> (_o->adapters_running.size(), [](size_t i, _VectorArgs *__va) { return CreateAdapterUse(*__va->__fbb, __va->__o->adapters_running[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _loads = _o->loads.size() ? _fbb.CreateVectorOfStructs(_o->loads) : 0;
+  auto _adapter_uses = _o->adapter_uses.size() ? _fbb.CreateVector(_o->adapter_uses) : 0;
+  auto _adapters_running = _o->adapters_running.size() ? _fbb.CreateVector(_o->adapters_running) : 0;
+  auto _pauses = _o->pauses.size() ? _fbb.CreateVectorOfStructs(_o->pauses) : 0;
   return corneltally::fleet_wire::CreateHeartbeat(
       _fbb,
       _operator_end,
       _draining,
-      _heard,
+      _hears_receiver,
       _account_uses,
       _loads,
       _adapter_uses,
-      _adapters_running);
+      _adapters_running,
+      _pauses);
 }
 
 inline LoadWantedT *LoadWanted::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/standins/site.cpp
+++ b/standins/site.cpp
@@ -224,7 +224,8 @@
     }
     const std::string file = fileIn(inName + ".toml");
     std::ofstream(file) << "[instance]\nname = \"" << inName << "\"\nfailure_domain = \""
-                        << domainOf(inName) << "\"\nmachine = \"" << inName
+                        << domainOf(inName) << "\"\nmachine = \""
+                        << (mOptions.oneMachine ? "machine" : inName)
                         << "\"\n[listen]\ncallers = \"127.0.0.1:0\"\noperators = \"127.0.0.1:0\"\n"
                            "peers = \"127.0.0.1:0\"\n[store]\naddress = \""
                         << storeAddress << "\"\n"
--- a/standins/site.h
+++ b/standins/site.h
@@ -28,6 +28,8 @@
     std::vector<std::string> applicationFlags;
     /// Endpoints and the store are reached through links of the fault-injecting proxy.
     bool proxied = false;
+    /// All instances claim to run on one machine, which turns off what keeps holders apart.
+    bool oneMachine = false;
     /// Time between SIGTERM and the end of an instance by force.
     int stopMs = 6000;
 };
--- a/tests/unit/catalog_service_test.cpp
+++ b/tests/unit/catalog_service_test.cpp
@@ -51,9 +51,10 @@
         answer(std::move(inHandler), std::move(result));
     }
 
-    void read(const std::string &inTopic, std::uint64_t inFrom, core::duration /*inWait*/,
+    void read(const std::string &inTopic, std::uint64_t inFrom, core::duration inWait,
               read_handler inHandler)
     {
+        waits[inTopic].push_back(inWait);
         const topic &source = topics[inTopic];
         store::read_result result{.outcome = status(), .end = source.end};
         if (inFrom < source.first)
@@ -95,6 +96,8 @@
     bool away = false;
     std::set<std::string> silentTopics;
     int newestReads = 0;
+    /// Waits of the reads that were asked for.
+    std::map<std::string, std::vector<core::duration>> waits;
 
 private:
     store::read_result::status status() const
@@ -279,3 +282,40 @@
     fixture.run(100ms);
     CHECK(fixture.events == std::vector<std::string>{"ready e1", "removed e1"});
 }
+
+TEST_CASE("a look at the instances' topic does not wait at the store, and the wait can be changed")
+{
+    catalog_fixture fixture;
+    fixture.store->put("keyed.fleet", "a", "1");
+    fixture.registry.startAll();
+    fixture.run(30ms);
+    auto &waits = fixture.store->waits["keyed.fleet"];
+    fixture.store->silentTopics = {"keyed.fleet"};
+    fixture.run(400ms);
+    fixture.registry.post("catalog", catalog::fleet_look{});
+    fixture.run(20ms);
+    REQUIRE_FALSE(waits.empty());
+    CHECK(waits.back() == 0ms);
+    fixture.run(400ms);
+    fixture.store->silentTopics = {"keyed.fleet"};
+    fixture.run(400ms);
+    fixture.registry.post("catalog", catalog::fleet_wait_changed{7s});
+    fixture.run(20ms);
+    CHECK(waits.back() == 7s);
+}
+
+TEST_CASE("records of the instances that come in quick succession are read together")
+{
+    catalog_fixture fixture;
+    fixture.store->put("keyed.fleet", "a", "1");
+    fixture.registry.startAll();
+    int updates = 0;
+    fixture.registry.handle<catalog::fleet_topic_updated>(
+        "test", [&updates](const catalog::fleet_topic_updated &) { ++updates; });
+    for (int index = 0; index < 50; ++index) {
+        fixture.store->put("keyed.fleet", "b" + std::to_string(index), "1");
+        fixture.run(10ms);
+    }
+    // Reads of the stand-in answer at once, so that each costs the pause between two of them.
+    CHECK(updates <= 4);
+}
--- a/tests/unit/engines_endpoint_choice_test.cpp
+++ b/tests/unit/engines_endpoint_choice_test.cpp
@@ -4,6 +4,7 @@
 #include "corneltally/engines/endpoint_book.h"
 #include "corneltally/engines/endpoint_choice.h"
 
+#include <set>
 #include <string>
 
 #include <catch2/catch.hpp>
@@ -88,8 +89,9 @@
 {
     three_engines fleet;
     fleet.report("e2", {.resident = {{"base/a1", 1}}});
-    fleet.book.applyPeerLoads("other", {{"e2", {.requests = 20, .promptTokens = 100'000}}}, {},
-                              cStart);
+    fleet.book.applyPeerLoads(
+        "other", {{engines::digestOf("e2"), {.requests = 20, .promptTokens = 100'000}}}, {},
+        cStart);
     CHECK(fleet.choose(adapterRequest())->endpoint != "e2");
     CHECK(engines::chooseEndpoint(fleet.book, adapterRequest(), "north", {}, cStart + 3s)->endpoint
           == "e2");
@@ -183,3 +185,92 @@
     book.find("s2")->own.requests = 6;
     CHECK(engines::chooseEndpoint(book, request, "south", {}, cStart)->endpoint != "s2");
 }
+
+namespace {
+
+/// Engines that all have the adapter, so that only the sizes of prompts tell them apart.
+struct engines_with_adapter
+{
+    static constexpr int sCount = 12;
+    engines::endpoint_book book;
+
+    engines_with_adapter()
+    {
+        for (int index = 0; index < sCount; ++index) {
+            const std::string id = "e" + std::to_string(index);
+            book.apply(engineEntry(id), cStart);
+            book.applyHolderReport(id, 1, "holder", true, {.resident = {{"base/a1", 1}}}, {"base"},
+                                   0, cStart);
+        }
+    }
+
+    /// Sends requests one after the other and returns the engines that got them.
+    std::set<std::string> send(const engines::work_request &inWork, int inRequests)
+    {
+        std::set<std::string> used;
+        for (int request = 0; request < inRequests; ++request) {
+            const auto choice = engines::chooseEndpoint(book, inWork, "north", {}, cStart);
+            REQUIRE(choice);
+            used.insert(choice->endpoint);
+            engines::endpoint &target = *book.find(choice->endpoint);
+            target.own.promptTokens += inWork.promptTokens;
+            ++target.own.requests;
+        }
+        return used;
+    }
+};
+
+} // namespace
+
+// Pattern: a third of the engines is 1.3 times slower, as on a deployment whose engines differ in
+// speed. While they read a prompt, each event of the answers beside it is later than the routes
+// allow, so that long answers there are late without exception.
+TEST_CASE("long answers avoid engines whose pauses are longer than their route allows")
+{
+    engines_with_adapter fleet;
+    const std::set<std::string> slow{"e1", "e4", "e7", "e10"};
+    for (int answer = 0; answer < 10; ++answer) {
+        for (int index = 0; index < engines_with_adapter::sCount; ++index) {
+            const std::string id = "e" + std::to_string(index);
+            fleet.book.notePause(engines::digestOf(id), slow.contains(id) ? 455ms : 350ms);
+        }
+    }
+    fleet.book.prune(cStart);
+    CHECK(fleet.book.slowness(*fleet.book.find("e1")) == Approx(1.3));
+    CHECK(fleet.book.slowness(*fleet.book.find("e2")) == Approx(1.0));
+    engines::work_request chat = adapterRequest(800);
+    chat.expectedTokens = 290;
+    chat.targetPause = 400ms;
+    for (const std::string &engine : fleet.send(chat, 60))
+        CHECK_FALSE(slow.contains(engine));
+    // Without a bound that the slow engines miss, all of them serve.
+    chat.targetPause = 500ms;
+    CHECK(fleet.send(chat, 600).size() == engines_with_adapter::sCount);
+}
+
+TEST_CASE("pauses from other causes and of unknown endpoints change nothing")
+{
+    engines_with_adapter fleet;
+    fleet.book.notePause(engines::digestOf("e1"), 40ms);
+    fleet.book.notePause(engines::digestOf("e1"), 3s);
+    fleet.book.notePause(engines::digestOf("nobody"), 400ms);
+    fleet.book.prune(cStart);
+    CHECK(fleet.book.find("e1")->readingPause == 0ms);
+    CHECK(fleet.book.slowness(*fleet.book.find("e1")) == 1);
+}
+
+TEST_CASE("what a choice costs others does not count as time that the request waits")
+{
+    engines_with_adapter fleet;
+    for (int index = 0; index < engines_with_adapter::sCount; ++index) {
+        const std::string id = "e" + std::to_string(index);
+        fleet.book.notePause(engines::digestOf(id), 700ms);
+        fleet.book.find(id)->own.requests = 30;
+    }
+    engines::work_request request = adapterRequest(800);
+    request.expectedTokens = 290;
+    request.targetPause = 400ms;
+    const auto choice = engines::chooseEndpoint(fleet.book, request, "north", {}, cStart);
+    REQUIRE(choice);
+    CHECK(choice->estimate < 100ms);
+}
--- a/tests/unit/fleet_codec_test.cpp
+++ b/tests/unit/fleet_codec_test.cpp
@@ -26,11 +26,12 @@
     checkRoundTrip(fleet::hello{"a", "10.0.0.1", "10.0.0.1:80", "north", 7, 12});
     checkRoundTrip(fleet::heartbeat{.operatorEnd = 4,
                                     .draining = true,
-                                    .heard = {"b", "c"},
+                                    .hearsReceiver = true,
                                     .accountUses = {{"north", 12.5}},
-                                    .loads = {{"e1", {3, 100, 200}}},
-                                    .adapterUses = {{"e1", "base/a1"}},
-                                    .adaptersRunning = {{"e1", "base/a2"}}});
+                                    .loads = {{engines::digestOf("e1"), {3, 100, 200}}},
+                                    .adapterUses = {engines::digestOf("e1", "base/a1")},
+                                    .adaptersRunning = {engines::digestOf("e1", "base/a2")},
+                                    .pauses = {{engines::digestOf("e1"), 420ms}}});
     checkRoundTrip(fleet::load_wanted{"e1", 5, "base", "a1", 2, 900});
     checkRoundTrip(fleet::adapter_missing{"e1", 5, "base/a1"});
     checkRoundTrip(fleet::adapter_running{"e1", 5, "base/a1", true});
@@ -68,3 +69,17 @@
     record.value = "not json";
     CHECK_FALSE(fleet::decodeClaim(record));
 }
+
+TEST_CASE("a heartbeat of a busy instance stays small")
+{
+    // 20 engines with a request each of 16 accounts: 24 receivers, five times a second.
+    fleet::heartbeat beat;
+    for (int index = 0; index < 20; ++index) {
+        const std::string engine = "i-" + std::to_string(1'000'000 + index);
+        beat.loads[engines::digestOf(engine)] = {1, 9000, 9100};
+        beat.adaptersRunning.push_back(engines::digestOf(engine, "daka510000/a1234"));
+    }
+    for (int index = 0; index < 16; ++index)
+        beat.accountUses.push_back({"account" + std::to_string(index), 1e6});
+    CHECK(fleet::encode(beat, cNow).size() < 2'000);
+}
--- a/tests/unit/fleet_holder_claims_test.cpp
+++ b/tests/unit/fleet_holder_claims_test.cpp
@@ -167,3 +167,17 @@
     claims.read("e1", claimOf("a", "10.0.0.1", 7, 5), cStart);
     CHECK(claims.find("e1")->instance == "b");
 }
+
+TEST_CASE("a claim needs a fresh look, and looks may be rare only while all others hear this one")
+{
+    fleet::holder_claims claims({}, cSelf, "north");
+    claims.confirmed(cStart);
+    CHECK(claims.hasFreshLook(cStart + 200ms));
+    CHECK_FALSE(claims.hasFreshLook(cStart + 300ms));
+    claims.setMembers({"b", "c"});
+    claims.heardBy("b", cStart);
+    CHECK_FALSE(claims.isHeardByAll(1500ms, cStart));
+    claims.heardBy("c", cStart);
+    CHECK(claims.isHeardByAll(1500ms, cStart + 1400ms));
+    CHECK_FALSE(claims.isHeardByAll(1500ms, cStart + 1600ms));
+}
