Begin loads from the store one after the other beyond its full speed

Every holder ordered all loads at once; beyond 8 to 40 on their way each takes longer in proportion, up to 1.2 s in place of 250 ms, so that all requests waited for the loads of all others and were sent before their adapter was there.

Change: an instance begins a load from the store only while fewer are on their way over all engines than the store carries at full speed, or while it has less than its share of them. Adapters at hand are not held up, and no room is made before the load may begin.

--- a/corneltally/orders/engine_keeper.cpp
+++ b/corneltally/orders/engine_keeper.cpp
@@ -216,6 +216,10 @@
     for (const auto &[key, entry] : mDemand) {
         if (std::ranges::find(mModels, entry.model) == mModels.end())
             continue;
+        // No room is made for an adapter that may not be fetched yet.
+        if (!mFleet.mayFetch && !isWarm(key)
+            && mSlots.stateOf(key) == scheduling::adapter_slots::state::absent)
+            continue;
         demands.push_back(
             {.adapter = key,
              .requests = 1,
@@ -315,13 +319,15 @@
     const auto scaled = [this](double inFactor) {
         return std::chrono::duration_cast<core::duration>(mSettings.adapterLoad * inFactor);
     };
-    if (std::ranges::find(mWarm, inKey) != mWarm.end())
+    if (isWarm(inKey))
         return scaled(mSettings.warmLoad);
-    const double parallel
-        = std::max<double>(mSettings.parallelLoads, mSettings.parallelLoadsPerEngine * mEngines);
-    const double underWay
-        = static_cast<double>(mArriving.size()) + 1 + static_cast<double>(mArrivingElsewhere);
-    return scaled(std::clamp(underWay / parallel, 1.0, mSettings.maxSlowDown));
+    const double underWay = arriving() + 1 + mFleet.arrivingElsewhere;
+    return scaled(std::clamp(underWay / mFleet.atFullSpeed, 1.0, mSettings.maxSlowDown));
+}
+
+bool engine_keeper::isWarm(const std::string &inKey) const
+{
+    return std::ranges::find(mWarm, inKey) != mWarm.end();
 }
 
 /// Settles an order that was sent twice by what a later report shows.
--- a/corneltally/orders/engine_keeper.h
+++ b/corneltally/orders/engine_keeper.h
@@ -17,16 +17,24 @@
 
 namespace corneltally::orders {
 
+/// Loads of adapters over all engines, as a holder knows them.
+struct load_state
+{
+    /// Adapters on their way to all other engines.
+    int arrivingElsewhere = 0;
+    /// Loads that the store carries at full speed.
+    double atFullSpeed = 8;
+    /// Whether another adapter may be fetched from the store.
+    bool mayFetch = true;
+
+    friend auto operator<=>(const load_state &, const load_state &) = default;
+};
+
 /// Constants of the care for one engine.
 struct keeper_settings
 {
     /// Time to load an adapter (deployment sheets: 250 ms).
     core::duration adapterLoad = std::chrono::milliseconds(250);
-    /// Adapters on their way over all engines beyond which loads slow down in proportion: the
-    /// greater of a number and a share of the engines (deployment sheets: 8 for 12 engines, 40 and
-    /// 32 for 90).
-    int parallelLoads = 8;
-    double parallelLoadsPerEngine = 0.35;
     /// Bound of the slow-down that is assumed. Without it, long estimates would make more loads
     /// count as under way, and so grow further.
     double maxSlowDown = 3;
@@ -88,12 +96,8 @@
     /// expected, or the engine lost it. It keeps its place until a report shows which.
     void missing(const std::string &inKey, core::time_point inNow);
 
-    /// Adapters on their way to all other engines, and the number of engines.
-    void setFleet(int inArrivingElsewhere, int inEngines)
-    {
-        mArrivingElsewhere = inArrivingElsewhere;
-        mEngines = inEngines;
-    }
+    /// What the other engines have on their way, and whether a load from the store may begin.
+    void setFleet(const load_state &inFleet) { mFleet = inFleet; }
 
     /// The operator named a version of an adapter: a resident older one has to be replaced.
     void versionNamed(const std::string &inKey, std::uint64_t inVersion, core::time_point inNow);
@@ -115,6 +119,8 @@
     bool inSync() const { return mOrders.has_value() && !mUnresolved; }
 
     engines::residency adapters() const;
+    /// Number of adapters on their way.
+    int arriving() const { return static_cast<int>(mArriving.size()); }
     /// All adapters that are there or on their way, also those that take no new requests.
     std::vector<std::string> knownAdapters() const;
     std::vector<std::string> models() const { return mModels; }
@@ -163,6 +169,7 @@
     void resolve(const engines::engine_order &inOrder, bool inPresent, core::time_point inNow);
     void noteUnloaded(const std::string &inKey);
     core::duration loadTime(const std::string &inKey) const;
+    bool isWarm(const std::string &inKey) const;
     std::uint64_t namedVersion(const std::string &inKey) const;
 
     std::string mEngine;
@@ -179,8 +186,7 @@
     std::vector<std::string> mModels;
     /// Adapters that were unloaded, the latest last.
     std::vector<std::string> mWarm;
-    int mArrivingElsewhere = 0;
-    int mEngines = 1;
+    load_state mFleet;
     std::optional<std::uint64_t> mOrders;
     std::optional<under_way> mUnderWay;
     /// An order whose effect only a report can show, since it was sent twice.
--- a/corneltally/orders/order_service.cpp
+++ b/corneltally/orders/order_service.cpp
@@ -9,6 +9,7 @@
 #include "platform/document_codec.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace corneltally::orders {
@@ -16,7 +17,11 @@
 namespace {
 
 /// Period of the checks that no message starts: lapsed loads, reports, claims.
-constexpr core::duration cTickPeriod = std::chrono::milliseconds(50);
+constexpr core::duration cTickPeriod = std::chrono::milliseconds(25);
+/// Adapters on their way over all engines beyond which loads slow down in proportion: the greater
+/// of a number and a share of the engines (deployment sheets: 8 for 12 engines, 40 and 32 for 90).
+constexpr double cLeastParallelLoads = 8;
+constexpr double cParallelLoadsPerEngine = 0.35;
 /// Pause between two attempts to claim engines.
 constexpr core::duration cClaimPause = std::chrono::milliseconds(400);
 /// Instances of a failure domain claim one after the other with this delay. Of two that append
@@ -381,12 +386,28 @@
     return static_cast<int>(count);
 }
 
+/// Loads beyond what the store carries at full speed make all of them slower, so that they begin
+/// one after the other. Each instance may always have its share of them under way, since what it
+/// knows of the others is some milliseconds old.
+load_state order_service::loadsOf(const std::string &inEngine, core::time_point inNow) const
+{
+    load_state loads{.arrivingElsewhere = arrivingElsewhere(inEngine, inNow)};
+    loads.atFullSpeed = std::max(cLeastParallelLoads,
+                                 cParallelLoadsPerEngine * static_cast<double>(mEntries.size()));
+    int own = 0;
+    for (const auto &[engine, state] : mHeld)
+        own += state.keeper.arriving();
+    const int all = loads.arrivingElsewhere + mHeld.at(inEngine).keeper.arriving();
+    const double share = loads.atFullSpeed / static_cast<double>(mLive.size() + 1);
+    loads.mayFetch = all < loads.atFullSpeed || own < std::floor(share);
+    return loads;
+}
+
 void order_service::pump(const std::string &inEngine, held &ioHeld, core::time_point inNow)
 {
     ioHeld.keeper.advance(inNow);
     if (mClaims.mayOrder(inEngine, inNow)) {
-        ioHeld.keeper.setFleet(arrivingElsewhere(inEngine, inNow),
-                               static_cast<int>(mEntries.size()));
+        ioHeld.keeper.setFleet(loadsOf(inEngine, inNow));
         if (const auto order = ioHeld.keeper.nextOrder(inNow))
             sendOrder(inEngine, *order);
     }
--- a/corneltally/orders/order_service.h
+++ b/corneltally/orders/order_service.h
@@ -73,6 +73,7 @@
     void versionNamed(const catalog::adapter_version_named &inNamed);
     void describe(const std::string &inEngine);
     void tick();
+    load_state loadsOf(const std::string &inEngine, core::time_point inNow) const;
     int arrivingElsewhere(const std::string &inEngine, core::time_point inNow) const;
     void pump(const std::string &inEngine, held &ioHeld, core::time_point inNow);
     void sendOrder(const std::string &inEngine, const engines::engine_order &inOrder);
--- a/tests/unit/orders_engine_keeper_test.cpp
+++ b/tests/unit/orders_engine_keeper_test.cpp
@@ -276,17 +276,49 @@
 
 TEST_CASE("many loads in a large fleet are not taken for an overload of the weight store")
 {
-    const auto loadTime = [](int inElsewhere, int inEngines) {
+    const auto loadTime = [](int inElsewhere, double inAtFullSpeed) {
         kept_engine engine;
-        engine.keeper.setFleet(inElsewhere, inEngines);
+        engine.keeper.setFleet({inElsewhere, inAtFullSpeed, true});
         engine.load("a1");
         return engine.keeper.adapters().arriving.at("base/a1").readyAt - engine.now;
     };
-    CHECK(loadTime(0, 12) == 250ms);
-    CHECK(loadTime(15, 12) == 500ms);
-    CHECK(loadTime(25, 90) == 250ms);
+    CHECK(loadTime(0, 8) == 250ms);
+    CHECK(loadTime(15, 8) == 500ms);
+    CHECK(loadTime(25, 31.5) == 250ms);
     // A long estimate must not feed on itself.
-    CHECK(loadTime(10'000, 90) == 750ms);
+    CHECK(loadTime(10'000, 31.5) == 750ms);
+}
+
+// Pattern: rare adapters that many ask for at once. Loads beyond the store's full speed make all of
+// them slower, so that each request waits for the loads of all others.
+TEST_CASE("loads from the store begin one after the other, those of adapters at hand at once")
+{
+    kept_engine engine;
+    engine.load("a1");
+    engine.load("a2");
+    engine.settle();
+    engine.now += 2s;
+    engine.ask("a3");
+    const auto unload = engine.next();
+    REQUIRE(unload);
+    REQUIRE(unload->kind == engine_order::operation::unload);
+    engine.end(*unload, order_outcome::holds);
+    engine.keeper.setFleet({40, 31.5, false});
+    CHECK_FALSE(engine.next());
+    // An adapter at hand takes nothing from the store, and does not wait behind one that does.
+    engine.ask(unload->adapter);
+    const auto back = engine.next();
+    REQUIRE(back);
+    CHECK(back->kind == engine_order::operation::load);
+    CHECK(back->adapter == unload->adapter);
+    engine.end(*back, order_outcome::accepted);
+    engine.settle();
+    engine.now += 1s;
+    engine.ask("a3");
+    // No room is made before the load may begin.
+    CHECK_FALSE(engine.next());
+    engine.keeper.setFleet({10, 31.5, true});
+    CHECK(engine.next());
 }
 
 TEST_CASE("a new start of the engine forgets adapters and order numbers")
