Give no loads to engines whose holder is out of reach

Change: when the live instances change, engines of holders that are not among them take no loads until their holder or its successor says again that it may order. What they hold serves on.

Test: engines whose holder went silent get no loads until it is heard again.

--- a/corneltally/engines/endpoint_book.cpp
+++ b/corneltally/engines/endpoint_book.cpp
@@ -141,6 +141,12 @@
     return open - std::max(inEndpoint.queued, static_cast<int>(inEndpoint.ownWaiting.size()));
 }
 
+void endpoint_book::keepHolders(const std::set<std::string> &inLive)
+{
+    for (auto &[id, target] : mEndpoints)
+        target.holderReady = target.holderReady && inLive.contains(target.holder);
+}
+
 void endpoint_book::forgetHearsay()
 {
     mPeers.clear();
--- a/corneltally/engines/endpoint_book.h
+++ b/corneltally/engines/endpoint_book.h
@@ -148,6 +148,10 @@
     /// that no request runs on, less those that wait already.
     int openPlaces(const endpoint &inEndpoint, int inPlaces, core::time_point inNow) const;
 
+    /// Engines of holders that are not among the live instances get no loads until their holder, or
+    /// its successor, says again that it may order.
+    void keepHolders(const std::set<std::string> &inLive);
+
     /// Forgets what other instances and holders said, for example after a pause of the process.
     void forgetHearsay();
 
--- a/corneltally/forwarding/front_service.cpp
+++ b/corneltally/forwarding/front_service.cpp
@@ -10,6 +10,7 @@
 #include "corneltally/routing/routing_table.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace corneltally::forwarding {
@@ -80,6 +81,10 @@
         cName, [this](const fleet::instances_changed &inChanged) {
             mContext.allowance.setPeers(inChanged.members, core::boot_clock::now());
             mContext.retries.setInstances(static_cast<int>(inChanged.members.size()) + 1);
+            std::set<std::string> live{mOptions.instance};
+            for (const auto &[name, domain] : inChanged.live)
+                live.insert(name);
+            mContext.book.keepHolders(live);
         });
     ioRegistry.handle<fleet::heartbeat_due>(cName,
                                             [this](const fleet::heartbeat_due &) { contribute(); });
--- a/tests/unit/engines_endpoint_choice_test.cpp
+++ b/tests/unit/engines_endpoint_choice_test.cpp
@@ -117,6 +117,27 @@
     CHECK(fleet.choose(adapterRequest())->endpoint == "e1");
 }
 
+// Pattern: a third of the instances is cut off from the others. Requests that wait for loads at the
+// engines of a holder that is out of reach lose most of their time.
+TEST_CASE("engines whose holder went silent get no loads until it is heard again")
+{
+    three_engines fleet;
+    fleet.book.applyHolderReport("e1", 1, "other", true, {.resident = {{"base/a9", 1}}}, {"base"},
+                                 0, cStart);
+    fleet.book.keepHolders({"other"});
+    const auto choice = fleet.choose(adapterRequest());
+    REQUIRE(choice);
+    CHECK(choice->endpoint == "e1");
+    fleet.book.keepHolders({});
+    CHECK_FALSE(fleet.choose(adapterRequest()));
+    // What the engine has serves on.
+    engines::work_request resident = adapterRequest();
+    resident.adapter = "a9";
+    CHECK(fleet.choose(resident)->endpoint == "e1");
+    fleet.report("e2", {});
+    CHECK(fleet.choose(adapterRequest())->endpoint == "e2");
+}
+
 TEST_CASE("leaving and removed endpoints get nothing, lapsed ones for a while")
 {
     three_engines fleet;
