--- a/bench/soak_bench.cpp
+++ b/bench/soak_bench.cpp
@@ -158,7 +158,7 @@
         case 4:
         case 5: {
             const std::vector<std::string> faults{"lose", "fail", "cut", "refuse"};
-            const std::string fault = faults[pick(faults.size())];
+            const std::string &fault = faults[pick(faults.size())];
             note("endpoint: " + fault);
             if (mFleet.process(endpoint).isRunning())
                 mFleet.setFaults(endpoint, {{fault, 1 + pick(10)}});
@@ -215,7 +215,7 @@
     void linkFault(const std::vector<std::string> &inLinks, std::chrono::milliseconds inLength)
     {
         const std::vector<std::string> faults{"cut", "freeze", "half_open", "delay"};
-        const std::string fault = faults[pick(faults.size())];
+        const std::string &fault = faults[pick(faults.size())];
         note("link: " + fault);
         json more{{"delay_ms", 20 + pick(150)}};
         if (pick(2) == 0)
--- a/corneltally/orders/order_service.cpp
+++ b/corneltally/orders/order_service.cpp
@@ -27,8 +27,9 @@
 /// Instances of a failure domain claim one after the other with this delay. Of two that append
 /// behind the same record one is refused, and each append wakes the reads of all instances.
 constexpr core::duration cClaimStep = std::chrono::milliseconds(100);
-/// Time for a look at the claims before another one is asked for.
-constexpr core::duration cLookTime = std::chrono::milliseconds(150);
+/// Time for a look at the claims before another one is asked for. The store answers in some
+/// milliseconds, and while it is away each call to it is priced.
+constexpr core::duration cLookTime = std::chrono::milliseconds(600);
 /// Claims on engines that are gone are removed together with other claims, or after this time.
 constexpr core::duration cObsoleteTime = std::chrono::seconds(4);
 /// While all other instances have said within this time that they hear this one, its right to
