--- a/tests/integration/site_forwarding_test.cpp
+++ b/tests/integration/site_forwarding_test.cpp
@@ -118,7 +118,7 @@
 {
     std::string text = inCall.method + " " + inCall.path + " HTTP/1.1\r\n";
     for (const auto &[name, value] : inCall.headers)
-        text += name + ": " + value + "\r\n";
+        text.append(name).append(": ").append(value).append("\r\n");
     text += "Content-Length: " + std::to_string(inCall.body.size()) + "\r\n\r\n" + inCall.body;
     const int caller = socket(AF_INET, SOCK_STREAM, 0);
     sockaddr_in target{.sin_family = AF_INET, .sin_port = htons(inCall.target.port)};
