Claim engines also while the store is slow

A look at the claims counted as fresh for 250 ms only, so that no claim could follow one that a slow store answered after that time. The append is conditional, so that an older look costs a refused append at worst.

--- a/corneltally/fleet/holder_claims.h
+++ b/corneltally/fleet/holder_claims.h
@@ -33,8 +33,9 @@
     /// An instance that was not heard for this long loses its engines. Most cuts and restarts are
     /// shorter, and a holder that comes back goes on at once, a successor has to wait.
     core::duration silence = std::chrono::milliseconds(7000);
-    /// A claim is appended only behind a look that is younger than this.
-    core::duration claimLookAge = std::chrono::milliseconds(250);
+    /// A claim is appended only behind a look that is younger than this. A slow store takes a
+    /// quarter of a second and more to answer one.
+    core::duration claimLookAge = std::chrono::milliseconds(1000);
     /// Free engines are claimed only after this time, when the live instances know each other.
     core::duration firstClaim = std::chrono::milliseconds(600);
 };
