Split what is left of a rate among instances that are cut off from each other

Each of them went on with the whole level and could fill it up to the whole burst again; only the rate was split.

Change: when an instance falls silent, its part of what is left is taken from the level, and the level fills only up to the part of the burst of the instances that are heard. Contact gives back what was not used.

--- a/corneltally/limits/fleet_allowance.cpp
+++ b/corneltally/limits/fleet_allowance.cpp
@@ -37,11 +37,14 @@
 
 void fleet_allowance::setPeers(const std::vector<std::string> &inPeers, core::time_point inNow)
 {
-    for (auto &[name, account] : mAccounts)
+    const auto isGone = [&](const std::string &inPeer) {
+        return std::ranges::find(inPeers, inPeer) == inPeers.end();
+    };
+    for (auto &[name, account] : mAccounts) {
         refill(account, inNow);
-    std::erase_if(mPeers, [&](const auto &inEntry) {
-        return std::ranges::find(inPeers, inEntry.first) == inPeers.end();
-    });
+        std::erase_if(account.silent, isGone);
+    }
+    std::erase_if(mPeers, [&](const auto &inEntry) { return isGone(inEntry.first); });
     for (const std::string &peer : inPeers)
         mPeers.try_emplace(peer);
 }
@@ -75,8 +78,33 @@
     }
 }
 
+double fleet_allowance::ownBurst(const account_state &inAccount) const
+{
+    const auto all = static_cast<double>(mPeers.size() + 1);
+    return inAccount.burst * (1 - static_cast<double>(inAccount.silent.size()) / all);
+}
+
+/// An instance that falls silent may use what is left as this one may: each keeps its part, so that
+/// instances which are cut off from each other do not use the whole burst each.
+void fleet_allowance::reserveForSilent(account_state &ioAccount, core::time_point inNow)
+{
+    for (const auto &[name, peer] : mPeers) {
+        if (peer.heard && inNow - *peer.heard <= sSilence) {
+            ioAccount.silent.erase(name);
+            continue;
+        }
+        const double parts = static_cast<double>(mPeers.size() + 1 - ioAccount.silent.size());
+        if (!ioAccount.silent.insert(name).second || parts < 2)
+            continue;
+        const double part = std::max(0.0, ioAccount.level) / parts;
+        ioAccount.level -= part;
+        ioAccount.assumed[name] += part;
+    }
+}
+
 void fleet_allowance::refill(account_state &ioAccount, core::time_point inNow)
 {
+    reserveForSilent(ioAccount, inNow);
     const double elapsed = std::max(0.0, inSeconds(inNow - ioAccount.updated));
     ioAccount.updated = inNow;
     if (elapsed == 0)
@@ -90,9 +118,10 @@
         kept -= share;
         double &assumed = ioAccount.assumed[name];
         // What an instance could not have used before its burst was full is not given back.
-        assumed = std::min(assumed + share, ioAccount.burst);
+        assumed
+            = std::min(assumed + share, ioAccount.burst / static_cast<double>(mPeers.size() + 1));
     }
-    ioAccount.level = std::min(ioAccount.burst, ioAccount.level + kept);
+    ioAccount.level = std::min(ownBurst(ioAccount), ioAccount.level + kept);
 }
 
 bool fleet_allowance::tryCharge(std::string_view inAccount, double inAmount, core::time_point inNow)
@@ -107,7 +136,7 @@
     }
     refill(account, inNow);
     // A request that is larger than the burst passes when the allowance is full.
-    if (account.level < std::min(inAmount, account.burst))
+    if (account.level < std::min(inAmount, ownBurst(account)))
         return false;
     account.level -= inAmount;
     account.ownTotal += inAmount;
@@ -132,7 +161,7 @@
         return {};
     account_state &account = found->second;
     refill(account, inNow);
-    const double missing = std::min(inAmount, account.burst) - account.level;
+    const double missing = std::min(inAmount, ownBurst(account)) - account.level;
     return std::chrono::duration_cast<core::duration>(
         std::chrono::duration<double>(std::max(0.0, missing / account.rate)));
 }
--- a/corneltally/limits/fleet_allowance.h
+++ b/corneltally/limits/fleet_allowance.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -76,8 +77,13 @@
         core::time_point updated;
         /// Taken from the level for instances that were not heard, by instance.
         std::map<std::string, double, std::less<>> assumed;
+        /// Instances whose part of the level was taken since they fell silent.
+        std::set<std::string, std::less<>> silent;
     };
 
+    /// Burst less the parts of the instances that are not heard.
+    double ownBurst(const account_state &inAccount) const;
+    void reserveForSilent(account_state &ioAccount, core::time_point inNow);
     void refill(account_state &ioAccount, core::time_point inNow);
 
     std::map<std::string, account_state, std::less<>> mAccounts;
--- a/tests/unit/limits_fleet_allowance_test.cpp
+++ b/tests/unit/limits_fleet_allowance_test.cpp
@@ -85,6 +85,26 @@
     CHECK(total >= 1000 * 9);
 }
 
+// Pattern: one account sends many times its usual while instances are cut off from each other, as
+// on scale-2 of a grown deployment.
+TEST_CASE("what is left when instances are cut off is used once, and comes back with the contact")
+{
+    two_instances fleet;
+    fleet.advance(3s);
+    fleet.cut = true;
+    fleet.advance(2s);
+    const double first = fleet.drain(0) + fleet.drain(1);
+    CHECK(first <= 1000);
+    CHECK(first >= 800);
+    fleet.cut = false;
+    fleet.advance(2s);
+    fleet.cut = true;
+    fleet.advance(2s);
+    fleet.cut = false;
+    fleet.advance(200ms);
+    CHECK(fleet.drain(0) >= 900);
+}
+
 TEST_CASE("an instance starts empty and forgets its content after a pause")
 {
     two_instances fleet;
