--- a/corneltally/catalog/catalog_service.h
+++ b/corneltally/catalog/catalog_service.h
@@ -117,8 +117,11 @@
         if (!inRecord.value)
             return;
         const auto known = mOperatorRecords.find(inRecord.key);
-        if (known != mOperatorRecords.end() && known->second.offset >= inRecord.offset)
+        if (known != mOperatorRecords.end() && known->second.offset >= inRecord.offset) {
+            mMetrics.count("operator_records_repeated_total{source=\"" + std::string(inSource)
+                           + "\"}");
             return;
+        }
         if (inRecord.key == platform::cConfigurationKey) {
             if (!applyConfiguration(inRecord, inSource))
                 return;
@@ -154,6 +157,7 @@
                        {{"version", mVersion},
                         {"offset", inRecord.offset},
                         {"source", inSource},
+                        {"bytes", inRecord.value->size()},
                         {"routes", decoded->routes.size()},
                         {"accounts", decoded->accounts.size()}});
         mMetrics.count("configurations_total{outcome=\"applied\"}");
@@ -165,10 +169,23 @@
 
     void relayOperatorRecords(const operator_records_requested &inRequested)
     {
+        std::size_t count = 0;
+        std::size_t bytes = 0;
         for (const auto &[key, record] : mOperatorRecords) {
-            if (record.offset >= inRequested.from)
-                mRegistry.broadcast(operator_record_relay{inRequested.instance, record});
+            if (record.offset < inRequested.from)
+                continue;
+            ++count;
+            bytes += record.value->size();
+            mRegistry.broadcast(operator_record_relay{inRequested.instance, record});
         }
+        mMetrics.count("operator_records_relayed_total", count);
+        mMetrics.count("operator_record_bytes_relayed_total", bytes);
+        core::logEvent(core::log_level::info, "operator_records_relayed",
+                       {{"peer", inRequested.instance},
+                        {"from", inRequested.from},
+                        {"end", mOperatorEnd},
+                        {"records", count},
+                        {"bytes", bytes}});
     }
 
     void endpointsUpdated(const store::topic_update &inUpdate)
