--- a/corneltally/catalog/catalog_messages.h
+++ b/corneltally/catalog/catalog_messages.h
@@ -57,24 +57,42 @@
     std::uint64_t end = 0;
 };
 
-/// Another instance lacks the operator records from an offset on.
+/// Another instance has all operator records before an offset, which this one has not.
+struct operator_end_reported
+{
+    std::string instance;
+    std::uint64_t end = 0;
+};
+
+/// Asks another instance for the operator records from an offset on.
+struct operator_records_request
+{
+    std::string instance;
+    std::uint64_t from = 0;
+};
+
+/// Another instance asks for the operator records from an offset on.
 struct operator_records_requested
 {
     std::string instance;
     std::uint64_t from = 0;
 };
 
-/// Asks to relay an operator record to another instance.
-struct operator_record_relay
+/// Asks to relay the newest operator records between two offsets to another instance.
+struct operator_records_relay
 {
     std::string instance;
-    store::record record;
+    std::vector<store::record> records;
+    std::uint64_t from = 0;
+    std::uint64_t end = 0;
 };
 
-/// An operator record relayed by another instance was received.
-struct operator_record_received
+/// Operator records relayed by another instance were received.
+struct operator_records_received
 {
-    store::record record;
+    std::vector<store::record> records;
+    std::uint64_t from = 0;
+    std::uint64_t end = 0;
 };
 
 /// Whether this instance relays the endpoint records to the others of its failure domain, so that
--- a/corneltally/catalog/catalog_service.h
+++ b/corneltally/catalog/catalog_service.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "corneltally/catalog/catalog_messages.h"
+#include "corneltally/catalog/record_catch_up.h"
 #include "corneltally/core/json_log.h"
 #include "corneltally/core/metrics.h"
 #include "corneltally/kernel/service.h"
@@ -10,6 +11,7 @@
 #include "corneltally/store/topic_follower.h"
 #include "platform/document_codec.h"
 
+#include <algorithm>
 #include <map>
 #include <memory>
 #include <set>
@@ -23,6 +25,8 @@
 /// Options of the catalog service: the topics of the store and the timing of their reads.
 struct catalog_options
 {
+    /// Name of this instance.
+    std::string instance;
     std::string operatorTopic;
     std::string endpointTopic;
     std::string fleetTopic;
@@ -39,6 +43,7 @@
     /// Pause between reads of the endpoint entries, which are renewed continuously. A leaving
     /// endpoint must not get new requests later than 2 s after its notice.
     core::duration endpointPause = std::chrono::milliseconds(700);
+    catch_up_options catchUp;
 };
 
 /// Follows the operator records, the endpoint entries and the fleet topic, and notifies the other
@@ -65,6 +70,7 @@
                      mRegistry.broadcast(fleet_topic_updated{inUpdate});
                  })
         , mCheckTimer(ioRegistry.loop(), [this] { checkStore(); })
+        , mCatchUp(inOptions.instance, inOptions.catchUp)
     {
         mRegistry.handle<fleet_topic_append>(
             cName, [this](const fleet_topic_append &inAppend) { append(inAppend); });
@@ -73,10 +79,13 @@
         mRegistry.handle<fleet_topic_wait_changed>(
             cName,
             [this](const fleet_topic_wait_changed &inChanged) { mFleet.setWait(inChanged.wait); });
-        mRegistry.handle<operator_record_received>(
-            cName, [this](const operator_record_received &inReceived) {
-                applyOperatorRecord(inReceived.record, "instance");
+        mRegistry.handle<operator_records_received>(
+            cName, [this](const operator_records_received &inReceived) {
+                operatorRecordsReceived(inReceived);
             });
+        mRegistry.handle<operator_end_reported>(
+            cName,
+            [this](const operator_end_reported &inReported) { operatorEndReported(inReported); });
         mRegistry.handle<endpoint_reader_changed>(
             cName,
             [this](const endpoint_reader_changed &inChanged) { mIsReader = inChanged.reads; });
@@ -106,10 +115,46 @@
 private:
     static constexpr core::duration cCheckPeriod = std::chrono::milliseconds(500);
 
+    /// Operator records are relayed in messages of about this size, so that heartbeats are not
+    /// delayed by long transfers.
+    static constexpr std::size_t cMaxRelayBytes = 256 * 1024;
+
     void operatorUpdated(const store::topic_update &inUpdate)
     {
         for (const store::record &record : inUpdate.records)
             applyOperatorRecord(record, "store");
+        advanceOperatorEnd(inUpdate.end);
+    }
+
+    void operatorRecordsReceived(const operator_records_received &inReceived)
+    {
+        for (const store::record &record : inReceived.records)
+            applyOperatorRecord(record, "instance");
+        // Without the records before them these prove nothing about what is known.
+        if (inReceived.from <= mCatchUp.end())
+            advanceOperatorEnd(inReceived.end);
+    }
+
+    void operatorEndReported(const operator_end_reported &inReported)
+    {
+        const core::time_point now = core::boot_clock::now();
+        mCatchUp.peerReported(inReported.instance, inReported.end, now);
+        const auto peer = mCatchUp.peerToAsk(mOperator.isFailing(), now);
+        if (!peer)
+            return;
+        core::logEvent(
+            core::log_level::info, "operator_records_requested",
+            {{"peer", *peer}, {"from", mCatchUp.end()}, {"store_failing", mOperator.isFailing()}});
+        mMetrics.count("operator_records_requested_total");
+        mRegistry.broadcast(operator_records_request{*peer, mCatchUp.end()});
+    }
+
+    void advanceOperatorEnd(std::uint64_t inEnd)
+    {
+        const std::uint64_t before = mCatchUp.end();
+        mCatchUp.received(inEnd, core::boot_clock::now());
+        if (mCatchUp.end() != before)
+            mRegistry.broadcast(operator_end_changed{mCatchUp.end()});
     }
 
     void applyOperatorRecord(const store::record &inRecord, std::string_view inSource)
@@ -135,8 +180,6 @@
                 adapter_version_named{named->model, named->adapter, named->version});
         }
         mOperatorRecords.insert_or_assign(inRecord.key, inRecord);
-        mOperatorEnd = std::max(mOperatorEnd, inRecord.offset + 1);
-        mRegistry.broadcast(operator_end_changed{mOperatorEnd});
     }
 
     bool applyConfiguration(const store::record &inRecord, std::string_view inSource)
@@ -169,21 +212,37 @@
 
     void relayOperatorRecords(const operator_records_requested &inRequested)
     {
-        std::size_t count = 0;
-        std::size_t bytes = 0;
+        std::vector<store::record> newer;
         for (const auto &[key, record] : mOperatorRecords) {
-            if (record.offset < inRequested.from)
-                continue;
-            ++count;
+            if (record.offset >= inRequested.from)
+                newer.push_back(record);
+        }
+        // In the order of their offsets, so that a transfer that breaks off leaves no gap.
+        std::ranges::sort(newer, {}, &store::record::offset);
+        const std::size_t count = newer.size();
+        std::size_t bytes = 0;
+        std::size_t relayBytes = 0;
+        operator_records_relay relay{.instance = inRequested.instance, .from = inRequested.from};
+        for (store::record &record : newer) {
+            if (relayBytes >= cMaxRelayBytes) {
+                relay.end = record.offset;
+                mRegistry.broadcast(relay);
+                relay.records.clear();
+                relay.from = relay.end;
+                relayBytes = 0;
+            }
             bytes += record.value->size();
-            mRegistry.broadcast(operator_record_relay{inRequested.instance, record});
+            relayBytes += record.value->size();
+            relay.records.push_back(std::move(record));
         }
+        relay.end = mCatchUp.end();
+        mRegistry.broadcast(relay);
         mMetrics.count("operator_records_relayed_total", count);
         mMetrics.count("operator_record_bytes_relayed_total", bytes);
         core::logEvent(core::log_level::info, "operator_records_relayed",
                        {{"peer", inRequested.instance},
                         {"from", inRequested.from},
-                        {"end", mOperatorEnd},
+                        {"end", mCatchUp.end()},
                         {"records", count},
                         {"bytes", bytes}});
     }
@@ -289,8 +348,8 @@
     store::topic_follower<Client> mEndpoints;
     store::topic_follower<Client> mFleet;
     kernel::timer mCheckTimer;
+    record_catch_up mCatchUp;
     std::map<std::string, store::record, std::less<>> mOperatorRecords;
-    std::uint64_t mOperatorEnd = 0;
     std::uint64_t mVersion = 0;
     std::map<std::string, std::string, std::less<>> mEntryValues;
     std::set<std::string> mLeaving;
--- a/corneltally/fleet/fleet_codec.cpp
+++ b/corneltally/fleet/fleet_codec.cpp
@@ -39,6 +39,8 @@
     return list;
 }
 
+using record_list = std::vector<std::unique_ptr<wire::OperatorRecordT>>;
+
 wire::OperatorRecordT encodeRecord(const store::record &inRecord)
 {
     wire::OperatorRecordT target;
@@ -58,6 +60,22 @@
     return record;
 }
 
+record_list encodeRecords(const std::vector<store::record> &inRecords)
+{
+    record_list list;
+    for (const store::record &record : inRecords)
+        list.push_back(std::make_unique<wire::OperatorRecordT>(encodeRecord(record)));
+    return list;
+}
+
+std::vector<store::record> decodeRecords(const record_list &inList)
+{
+    std::vector<store::record> records;
+    for (const auto &entry : inList)
+        records.push_back(decodeRecord(*entry));
+    return records;
+}
+
 struct body_encoder
 {
     core::time_point now;
@@ -141,16 +159,26 @@
         body.Set(std::move(target));
     }
 
-    void operator()(const operator_record &inRecord)
+    void operator()(const operator_records_wanted &inWanted)
     {
-        body.Set(encodeRecord({inRecord.key, inRecord.value, inRecord.offset}));
+        wire::OperatorRecordsWantedT target;
+        target.from = inWanted.from;
+        body.Set(std::move(target));
+    }
+
+    void operator()(const operator_records &inRecords)
+    {
+        wire::OperatorRecordsT target;
+        target.records = encodeRecords(inRecords.records);
+        target.from = inRecords.from;
+        target.end = inRecords.end;
+        body.Set(std::move(target));
     }
 
     void operator()(const endpoint_records &inRecords)
     {
         wire::EndpointRecordsT target;
-        for (const store::record &record : inRecords.records)
-            target.records.push_back(std::make_unique<wire::OperatorRecordT>(encodeRecord(record)));
+        target.records = encodeRecords(inRecords.records);
         target.from = inRecords.from;
         target.end = inRecords.end;
         body.Set(std::move(target));
@@ -224,16 +252,15 @@
         return adapter_running{body->endpoint, body->started_ms, body->adapter, body->running};
     if (const auto *body = envelope.body.AsEngineState())
         return decodeState(*body, inNow);
-    if (const auto *body = envelope.body.AsOperatorRecord()) {
-        store::record record = decodeRecord(*body);
-        return operator_record{std::move(record.key), record.offset, std::move(record.value)};
-    }
-    if (const auto *body = envelope.body.AsEndpointRecords()) {
-        endpoint_records records{.from = body->from, .end = body->end};
-        for (const auto &entry : body->records)
-            records.records.push_back(decodeRecord(*entry));
-        return records;
-    }
+    // A single record proves nothing about the records before it, so the range stays empty.
+    if (const auto *body = envelope.body.AsOperatorRecord())
+        return operator_records{.records = {decodeRecord(*body)}};
+    if (const auto *body = envelope.body.AsOperatorRecordsWanted())
+        return operator_records_wanted{body->from};
+    if (const auto *body = envelope.body.AsOperatorRecords())
+        return operator_records{decodeRecords(body->records), body->from, body->end};
+    if (const auto *body = envelope.body.AsEndpointRecords())
+        return endpoint_records{decodeRecords(body->records), body->from, body->end};
     return std::nullopt;
 }
 
--- a/corneltally/fleet/fleet_messages.h
+++ b/corneltally/fleet/fleet_messages.h
@@ -106,14 +106,24 @@
     friend bool operator==(const engine_state &, const engine_state &) = default;
 };
 
-/// A record of the operator topic, relayed to instances that can't reach the store.
-struct operator_record
+/// Asks for the operator records from an offset on.
+struct operator_records_wanted
 {
-    std::string key;
-    std::uint64_t offset = 0;
-    std::optional<std::string> value;
+    std::uint64_t from = 0;
+
+    friend auto operator<=>(const operator_records_wanted &, const operator_records_wanted &)
+        = default;
+};
+
+/// The newest operator records between two offsets, in their order, relayed to an instance that
+/// asked for them.
+struct operator_records
+{
+    std::vector<store::record> records;
+    std::uint64_t from = 0;
+    std::uint64_t end = 0;
 
-    friend bool operator==(const operator_record &, const operator_record &) = default;
+    friend bool operator==(const operator_records &, const operator_records &) = default;
 };
 
 /// Endpoint records, relayed to the other instances of the failure domain.
@@ -126,7 +136,8 @@
     friend bool operator==(const endpoint_records &, const endpoint_records &) = default;
 };
 
-using message = std::variant<hello, heartbeat, load_wanted, adapter_missing, engine_state,
-                             operator_record, adapter_running, endpoint_records>;
+using message
+    = std::variant<hello, heartbeat, load_wanted, adapter_missing, engine_state,
+                   operator_records_wanted, operator_records, adapter_running, endpoint_records>;
 
 } // namespace corneltally::fleet
--- a/corneltally/fleet/mesh_service.cpp
+++ b/corneltally/fleet/mesh_service.cpp
@@ -55,11 +55,13 @@
     mRegistry.handle<catalog::operator_end_changed>(
         cName,
         [this](const catalog::operator_end_changed &inChanged) { mOperatorEnd = inChanged.end; });
-    mRegistry.handle<catalog::operator_record_relay>(
-        cName, [this](const catalog::operator_record_relay &inRelay) {
-            send(
-                {inRelay.instance,
-                 operator_record{inRelay.record.key, inRelay.record.offset, inRelay.record.value}});
+    mRegistry.handle<catalog::operator_records_request>(
+        cName, [this](const catalog::operator_records_request &inRequest) {
+            send({inRequest.instance, operator_records_wanted{inRequest.from}});
+        });
+    mRegistry.handle<catalog::operator_records_relay>(
+        cName, [this](const catalog::operator_records_relay &inRelay) {
+            send({inRelay.instance, operator_records{inRelay.records, inRelay.from, inRelay.end}});
         });
     mRegistry.handle<catalog::endpoint_records_relay>(
         cName,
@@ -222,9 +224,13 @@
             {.records = relayed->records, .from = relayed->from, .end = relayed->end}});
         return;
     }
-    if (const auto *relayed = std::get_if<operator_record>(&*decoded)) {
+    if (const auto *wanted = std::get_if<operator_records_wanted>(&*decoded)) {
+        mRegistry.post("catalog", catalog::operator_records_requested{link.instance, wanted->from});
+        return;
+    }
+    if (const auto *relayed = std::get_if<operator_records>(&*decoded)) {
         mRegistry.broadcast(
-            catalog::operator_record_received{{relayed->key, relayed->value, relayed->offset}});
+            catalog::operator_records_received{relayed->records, relayed->from, relayed->end});
         return;
     }
     mRegistry.broadcast(mesh_received{link.instance, link.incarnation, *decoded});
@@ -255,9 +261,9 @@
                        {{"peer", inInstance}, {"incarnation", known.description.incarnation}});
         publishInstances();
     }
-    if (inHeartbeat.operatorEnd < mOperatorEnd)
+    if (inHeartbeat.operatorEnd > mOperatorEnd)
         mRegistry.post("catalog",
-                       catalog::operator_records_requested{inInstance, inHeartbeat.operatorEnd});
+                       catalog::operator_end_reported{inInstance, inHeartbeat.operatorEnd});
 }
 
 void mesh_service::openLink(outgoing &ioLink, const std::string &inAddress,
--- a/corneltally/forwarding/instance.cpp
+++ b/corneltally/forwarding/instance.cpp
@@ -92,7 +92,8 @@
         mRegistry.add(std::make_unique<catalog::catalog_service<platform::store_client>>(
             mRegistry, mMetrics,
             std::make_unique<platform::store_client>(mLoop, addressOf(inSettings.storeAddress)),
-            catalog::catalog_options{.operatorTopic = platform::cOperatorTopic,
+            catalog::catalog_options{.instance = inSettings.instanceName,
+                                     .operatorTopic = platform::cOperatorTopic,
                                      .endpointTopic = platform::cEndpointTopic,
                                      .fleetTopic = fleet::cFleetTopic}));
     }
--- a/corneltally/store/topic_follower.h
+++ b/corneltally/store/topic_follower.h
@@ -76,6 +76,9 @@
     std::uint64_t end() const { return mOffset; }
     bool isUnavailable(core::time_point inNow) const { return inNow - mConfirmedAt > sOutageTime; }
 
+    /// Whether the last read failed.
+    bool isFailing() const { return mFailed; }
+
     /// Abandons the read in flight and starts another one.
     void restart()
     {
--- a/schemas/fleet_generated.h
+++ b/schemas/fleet_generated.h
@@ -60,6 +60,14 @@
 struct EndpointRecordsBuilder;
 struct EndpointRecordsT;
 
+struct OperatorRecordsWanted;
+struct OperatorRecordsWantedBuilder;
+struct OperatorRecordsWantedT;
+
+struct OperatorRecords;
+struct OperatorRecordsBuilder;
+struct OperatorRecordsT;
+
 struct Envelope;
 struct EnvelopeBuilder;
 struct EnvelopeT;
@@ -74,11 +82,13 @@
   OperatorRecord = 6,
   AdapterRunning = 7,
   EndpointRecords = 8,
+  OperatorRecordsWanted = 9,
+  OperatorRecords = 10,
   MIN = NONE,
-  MAX = EndpointRecords
+  MAX = OperatorRecords
 };
 
-inline const Body (&EnumValuesBody())[9] {
+inline const Body (&EnumValuesBody())[11] {
   static const Body values[] = {
     Body::NONE,
     Body::Hello,
@@ -88,13 +98,15 @@
     Body::EngineState,
     Body::OperatorRecord,
     Body::AdapterRunning,
-    Body::EndpointRecords
+    Body::EndpointRecords,
+    Body::OperatorRecordsWanted,
+    Body::OperatorRecords
   };
   return values;
 }
 
 inline const char * const *EnumNamesBody() {
-  static const char * const names[10] = {
+  static const char * const names[12] = {
     "NONE",
     "Hello",
     "Heartbeat",
@@ -104,13 +116,15 @@
     "OperatorRecord",
     "AdapterRunning",
     "EndpointRecords",
+    "OperatorRecordsWanted",
+    "OperatorRecords",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameBody(Body e) {
-  if (flatbuffers::IsOutRange(e, Body::NONE, Body::EndpointRecords)) return "";
+  if (flatbuffers::IsOutRange(e, Body::NONE, Body::OperatorRecords)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesBody()[index];
 }
@@ -151,6 +165,14 @@
   static const Body enum_value = Body::EndpointRecords;
 };
 
+template<> struct BodyTraits<corneltally::fleet_wire::OperatorRecordsWanted> {
+  static const Body enum_value = Body::OperatorRecordsWanted;
+};
+
+template<> struct BodyTraits<corneltally::fleet_wire::OperatorRecords> {
+  static const Body enum_value = Body::OperatorRecords;
+};
+
 template<typename T> struct BodyUnionTraits {
   static const Body enum_value = Body::NONE;
 };
@@ -187,6 +209,14 @@
   static const Body enum_value = Body::EndpointRecords;
 };
 
+template<> struct BodyUnionTraits<corneltally::fleet_wire::OperatorRecordsWantedT> {
+  static const Body enum_value = Body::OperatorRecordsWanted;
+};
+
+template<> struct BodyUnionTraits<corneltally::fleet_wire::OperatorRecordsT> {
+  static const Body enum_value = Body::OperatorRecords;
+};
+
 struct BodyUnion {
   Body type;
   void *value;
@@ -281,6 +311,22 @@
     return type == Body::EndpointRecords ?
       reinterpret_cast<const corneltally::fleet_wire::EndpointRecordsT *>(value) : nullptr;
   }
+  corneltally::fleet_wire::OperatorRecordsWantedT *AsOperatorRecordsWanted() {
+    return type == Body::OperatorRecordsWanted ?
+      reinterpret_cast<corneltally::fleet_wire::OperatorRecordsWantedT *>(value) : nullptr;
+  }
+  const corneltally::fleet_wire::OperatorRecordsWantedT *AsOperatorRecordsWanted() const {
+    return type == Body::OperatorRecordsWanted ?
+      reinterpret_cast<const corneltally::fleet_wire::OperatorRecordsWantedT *>(value) : nullptr;
+  }
+  corneltally::fleet_wire::OperatorRecordsT *AsOperatorRecords() {
+    return type == Body::OperatorRecords ?
+      reinterpret_cast<corneltally::fleet_wire::OperatorRecordsT *>(value) : nullptr;
+  }
+  const corneltally::fleet_wire::OperatorRecordsT *AsOperatorRecords() const {
+    return type == Body::OperatorRecords ?
+      reinterpret_cast<const corneltally::fleet_wire::OperatorRecordsT *>(value) : nullptr;
+  }
 };
 
 bool VerifyBody(flatbuffers::Verifier &verifier, const void *obj, Body type);
@@ -1574,6 +1620,163 @@
 
 flatbuffers::Offset<EndpointRecords> CreateEndpointRecords(flatbuffers::FlatBufferBuilder &_fbb, const EndpointRecordsT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct OperatorRecordsWantedT : public flatbuffers::NativeTable {
+  typedef OperatorRecordsWanted TableType;
+  uint64_t from = 0;
+};
+
+struct OperatorRecordsWanted FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef OperatorRecordsWantedT NativeTableType;
+  typedef OperatorRecordsWantedBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_FROM = 4
+  };
+  uint64_t from() const {
+    return GetField<uint64_t>(VT_FROM, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_FROM, 8) &&
+           verifier.EndTable();
+  }
+  OperatorRecordsWantedT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(OperatorRecordsWantedT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<OperatorRecordsWanted> Pack(flatbuffers::FlatBufferBuilder &_fbb, const OperatorRecordsWantedT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct OperatorRecordsWantedBuilder {
+  typedef OperatorRecordsWanted Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_from(uint64_t from) {
+    fbb_.AddElement<uint64_t>(OperatorRecordsWanted::VT_FROM, from, 0);
+  }
+  explicit OperatorRecordsWantedBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<OperatorRecordsWanted> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<OperatorRecordsWanted>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<OperatorRecordsWanted> CreateOperatorRecordsWanted(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t from = 0) {
+  OperatorRecordsWantedBuilder builder_(_fbb);
+  builder_.add_from(from);
+  return builder_.Finish();
+}
+
+struct OperatorRecordsWanted::Traits {
+  using type = OperatorRecordsWanted;
+  static auto constexpr Create = CreateOperatorRecordsWanted;
+};
+
+flatbuffers::Offset<OperatorRecordsWanted> CreateOperatorRecordsWanted(flatbuffers::FlatBufferBuilder &_fbb, const OperatorRecordsWantedT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct OperatorRecordsT : public flatbuffers::NativeTable {
+  typedef OperatorRecords TableType;
+  std::vector<std::unique_ptr<corneltally::fleet_wire::OperatorRecordT>> records{};
+  uint64_t from = 0;
+  uint64_t end = 0;
+  OperatorRecordsT() = default;
+  OperatorRecordsT(const OperatorRecordsT &o);
+  OperatorRecordsT(OperatorRecordsT&&) FLATBUFFERS_NOEXCEPT = default;
+  OperatorRecordsT &operator=(OperatorRecordsT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct OperatorRecords FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef OperatorRecordsT NativeTableType;
+  typedef OperatorRecordsBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_RECORDS = 4,
+    VT_FROM = 6,
+    VT_END = 8
+  };
+  const flatbuffers::Vector<flatbuffers::Offset<corneltally::fleet_wire::OperatorRecord>> *records() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<corneltally::fleet_wire::OperatorRecord>> *>(VT_RECORDS);
+  }
+  uint64_t from() const {
+    return GetField<uint64_t>(VT_FROM, 0);
+  }
+  uint64_t end() const {
+    return GetField<uint64_t>(VT_END, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_RECORDS) &&
+           verifier.VerifyVector(records()) &&
+           verifier.VerifyVectorOfTables(records()) &&
+           VerifyField<uint64_t>(verifier, VT_FROM, 8) &&
+           VerifyField<uint64_t>(verifier, VT_END, 8) &&
+           verifier.EndTable();
+  }
+  OperatorRecordsT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(OperatorRecordsT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<OperatorRecords> Pack(flatbuffers::FlatBufferBuilder &_fbb, const OperatorRecordsT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct OperatorRecordsBuilder {
+  typedef OperatorRecords Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_records(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<corneltally::fleet_wire::OperatorRecord>>> records) {
+    fbb_.AddOffset(OperatorRecords::VT_RECORDS, records);
+  }
+  void add_from(uint64_t from) {
+    fbb_.AddElement<uint64_t>(OperatorRecords::VT_FROM, from, 0);
+  }
+  void add_end(uint64_t end) {
+    fbb_.AddElement<uint64_t>(OperatorRecords::VT_END, end, 0);
+  }
+  explicit OperatorRecordsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<OperatorRecords> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<OperatorRecords>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<OperatorRecords> CreateOperatorRecords(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<corneltally::fleet_wire::OperatorRecord>>> records = 0,
+    uint64_t from = 0,
+    uint64_t end = 0) {
+  OperatorRecordsBuilder builder_(_fbb);
+  builder_.add_end(end);
+  builder_.add_from(from);
+  builder_.add_records(records);
+  return builder_.Finish();
+}
+
+struct OperatorRecords::Traits {
+  using type = OperatorRecords;
+  static auto constexpr Create = CreateOperatorRecords;
+};
+
+inline flatbuffers::Offset<OperatorRecords> CreateOperatorRecordsDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const std::vector<flatbuffers::Offset<corneltally::fleet_wire::OperatorRecord>> *records = nullptr,
+    uint64_t from = 0,
+    uint64_t end = 0) {
+  auto records__ = records ? _fbb.CreateVector<flatbuffers::Offset<corneltally::fleet_wire::OperatorRecord>>(*records) : 0;
+  return corneltally::fleet_wire::CreateOperatorRecords(
+      _fbb,
+      records__,
+      from,
+      end);
+}
+
+flatbuffers::Offset<OperatorRecords> CreateOperatorRecords(flatbuffers::FlatBufferBuilder &_fbb, const OperatorRecordsT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct EnvelopeT : public flatbuffers::NativeTable {
   typedef Envelope TableType;
   corneltally::fleet_wire::BodyUnion body{};
@@ -1618,6 +1821,12 @@
   const corneltally::fleet_wire::EndpointRecords *body_as_EndpointRecords() const {
     return body_type() == corneltally::fleet_wire::Body::EndpointRecords ? static_cast<const corneltally::fleet_wire::EndpointRecords *>(body()) : nullptr;
   }
+  const corneltally::fleet_wire::OperatorRecordsWanted *body_as_OperatorRecordsWanted() const {
+    return body_type() == corneltally::fleet_wire::Body::OperatorRecordsWanted ? static_cast<const corneltally::fleet_wire::OperatorRecordsWanted *>(body()) : nullptr;
+  }
+  const corneltally::fleet_wire::OperatorRecords *body_as_OperatorRecords() const {
+    return body_type() == corneltally::fleet_wire::Body::OperatorRecords ? static_cast<const corneltally::fleet_wire::OperatorRecords *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_BODY_TYPE, 1) &&
@@ -1662,6 +1871,14 @@
   return body_as_EndpointRecords();
 }
 
+template<> inline const corneltally::fleet_wire::OperatorRecordsWanted *Envelope::body_as<corneltally::fleet_wire::OperatorRecordsWanted>() const {
+  return body_as_OperatorRecordsWanted();
+}
+
+template<> inline const corneltally::fleet_wire::OperatorRecords *Envelope::body_as<corneltally::fleet_wire::OperatorRecords>() const {
+  return body_as_OperatorRecords();
+}
+
 struct EnvelopeBuilder {
   typedef Envelope Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -2130,6 +2347,78 @@
       _end);
 }
 
+inline OperatorRecordsWantedT *OperatorRecordsWanted::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<OperatorRecordsWantedT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void OperatorRecordsWanted::UnPackTo(OperatorRecordsWantedT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = from(); _o->from = _e; }
+}
+
+inline flatbuffers::Offset<OperatorRecordsWanted> OperatorRecordsWanted::Pack(flatbuffers::FlatBufferBuilder &_fbb, const OperatorRecordsWantedT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateOperatorRecordsWanted(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<OperatorRecordsWanted> CreateOperatorRecordsWanted(flatbuffers::FlatBufferBuilder &_fbb, const OperatorRecordsWantedT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const OperatorRecordsWantedT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _from = _o->from;
+  return corneltally::fleet_wire::CreateOperatorRecordsWanted(
+      _fbb,
+      _from);
+}
+
+inline OperatorRecordsT::OperatorRecordsT(const OperatorRecordsT &o)
+      : from(o.from),
+        end(o.end) {
+  records.reserve(o.records.size());
+  for (const auto &records_ : o.records) { records.emplace_back((records_) ? new corneltally::fleet_wire::OperatorRecordT(*records_) : nullptr); }
+}
+
+inline OperatorRecordsT &OperatorRecordsT::operator=(OperatorRecordsT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(records, o.records);
+  std::swap(from, o.from);
+  std::swap(end, o.end);
+  return *this;
+}
+
+inline OperatorRecordsT *OperatorRecords::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<OperatorRecordsT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void OperatorRecords::UnPackTo(OperatorRecordsT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = records(); if (_e) { _o->records.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->records[_i] = std::unique_ptr<corneltally::fleet_wire::OperatorRecordT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = from(); _o->from = _e; }
+  { auto _e = end(); _o->end = _e; }
+}
+
+inline flatbuffers::Offset<OperatorRecords> OperatorRecords::Pack(flatbuffers::FlatBufferBuilder &_fbb, const OperatorRecordsT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateOperatorRecords(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<OperatorRecords> CreateOperatorRecords(flatbuffers::FlatBufferBuilder &_fbb, const OperatorRecordsT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const OperatorRecordsT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _records = _o->records.size() ? _fbb.CreateVector<flatbuffers::Offset<corneltally::fleet_wire::OperatorRecord>> (_o->records.size(), [](size_t i, _VectorArgs *__va) { return CreateOperatorRecord(*__va->__fbb, __va->__o->records[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _from = _o->from;
+  auto _end = _o->end;
+  return corneltally::fleet_wire::CreateOperatorRecords(
+      _fbb,
+      _records,
+      _from,
+      _end);
+}
+
 inline EnvelopeT *Envelope::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<EnvelopeT>();
   UnPackTo(_o.get(), _resolver);
@@ -2196,6 +2485,14 @@
       auto ptr = reinterpret_cast<const corneltally::fleet_wire::EndpointRecords *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Body::OperatorRecordsWanted: {
+      auto ptr = reinterpret_cast<const corneltally::fleet_wire::OperatorRecordsWanted *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::OperatorRecords: {
+      auto ptr = reinterpret_cast<const corneltally::fleet_wire::OperatorRecords *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -2247,6 +2544,14 @@
       auto ptr = reinterpret_cast<const corneltally::fleet_wire::EndpointRecords *>(obj);
       return ptr->UnPack(resolver);
     }
+    case Body::OperatorRecordsWanted: {
+      auto ptr = reinterpret_cast<const corneltally::fleet_wire::OperatorRecordsWanted *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case Body::OperatorRecords: {
+      auto ptr = reinterpret_cast<const corneltally::fleet_wire::OperatorRecords *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -2286,6 +2591,14 @@
       auto ptr = reinterpret_cast<const corneltally::fleet_wire::EndpointRecordsT *>(value);
       return CreateEndpointRecords(_fbb, ptr, _rehasher).Union();
     }
+    case Body::OperatorRecordsWanted: {
+      auto ptr = reinterpret_cast<const corneltally::fleet_wire::OperatorRecordsWantedT *>(value);
+      return CreateOperatorRecordsWanted(_fbb, ptr, _rehasher).Union();
+    }
+    case Body::OperatorRecords: {
+      auto ptr = reinterpret_cast<const corneltally::fleet_wire::OperatorRecordsT *>(value);
+      return CreateOperatorRecords(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -2324,6 +2637,14 @@
       value = new corneltally::fleet_wire::EndpointRecordsT(*reinterpret_cast<corneltally::fleet_wire::EndpointRecordsT *>(u.value));
       break;
     }
+    case Body::OperatorRecordsWanted: {
+      value = new corneltally::fleet_wire::OperatorRecordsWantedT(*reinterpret_cast<corneltally::fleet_wire::OperatorRecordsWantedT *>(u.value));
+      break;
+    }
+    case Body::OperatorRecords: {
+      value = new corneltally::fleet_wire::OperatorRecordsT(*reinterpret_cast<corneltally::fleet_wire::OperatorRecordsT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -2371,6 +2692,16 @@
       delete ptr;
       break;
     }
+    case Body::OperatorRecordsWanted: {
+      auto ptr = reinterpret_cast<corneltally::fleet_wire::OperatorRecordsWantedT *>(value);
+      delete ptr;
+      break;
+    }
+    case Body::OperatorRecords: {
+      auto ptr = reinterpret_cast<corneltally::fleet_wire::OperatorRecordsT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
--- /dev/null
+++ b/tests/unit/catalog_mock_store.h
@@ -0,0 +1,130 @@
+#pragma once
+
+#include "corneltally/core/boot_clock.h"
+#include "corneltally/kernel/event_loop.h"
+#include "corneltally/kernel/timer.h"
+#include "corneltally/store/record.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace corneltally::catalog_test {
+
+using namespace std::chrono_literals;
+
+/// A store whose topics are filled by the test. Reads never wait for new records.
+class mock_store
+{
+public:
+    using read_handler = std::function<void(const store::read_result &)>;
+
+    struct topic
+    {
+        std::vector<store::record> records;
+        std::uint64_t first = 0;
+        std::uint64_t end = 0;
+    };
+    using topic_map = std::map<std::string, topic>;
+
+    /// Clients of several instances may share their topics.
+    explicit mock_store(kernel::event_loop &inLoop,
+                        std::shared_ptr<topic_map> inTopics = std::make_shared<topic_map>())
+        : mLoop(inLoop)
+        , mTopics(std::move(inTopics))
+        , topics(*mTopics)
+    { }
+
+    void readNewest(const std::string &inTopic, const std::string & /*inAfterKey*/,
+                    read_handler inHandler)
+    {
+        ++newestReads;
+        std::map<std::string, store::record> newest;
+        for (const store::record &record : topics[inTopic].records)
+            newest[record.key] = record;
+        store::read_result result{.outcome = status(), .end = topics[inTopic].end};
+        for (const auto &[key, record] : newest) {
+            if (record.value)
+                result.records.push_back(record);
+        }
+        answer(std::move(inHandler), std::move(result));
+    }
+
+    void read(const std::string &inTopic, std::uint64_t inFrom, core::duration inWait,
+              read_handler inHandler)
+    {
+        waits[inTopic].push_back(inWait);
+        const topic &source = topics[inTopic];
+        store::read_result result{.outcome = status(), .end = source.end};
+        if (inFrom < source.first)
+            result.outcome = store::read_result::status::expired;
+        for (const store::record &record : source.records) {
+            if (record.offset >= inFrom)
+                result.records.push_back(record);
+        }
+        // A read on a dead connection is never answered.
+        if (silentTopics.erase(inTopic) > 0)
+            return;
+        answer(std::move(inHandler), std::move(result));
+    }
+
+    void append(const std::string &inTopic, const std::vector<store::record> &inRecords,
+                std::optional<std::uint64_t> inExpectedEnd,
+                std::function<void(const store::append_result &)> inHandler)
+    {
+        store::append_result result{.outcome = store::append_result::status::conflict};
+        if (!inExpectedEnd || *inExpectedEnd == topics[inTopic].end) {
+            result = {store::append_result::status::accepted, topics[inTopic].end};
+            for (const store::record &record : inRecords)
+                put(inTopic, record.key, record.value);
+        }
+        mLoop.post([handler = std::move(inHandler), result] { handler(result); });
+    }
+
+    void put(const std::string &inTopic, const std::string &inKey,
+             std::optional<std::string> inValue)
+    {
+        topic &target = topics[inTopic];
+        target.records.push_back({inKey, std::move(inValue), target.end++});
+    }
+
+    /// Drops the history except for the newest record of each key.
+    void compact(const std::string &inTopic) { topics[inTopic].first = topics[inTopic].end; }
+
+    bool unavailable = false;
+    core::duration answerTime = 2ms;
+    std::set<std::string> silentTopics;
+    int newestReads = 0;
+    /// Wait times of the received reads by topic.
+    std::map<std::string, std::vector<core::duration>> waits;
+
+private:
+    store::read_result::status status() const
+    {
+        return unavailable ? store::read_result::status::unavailable
+                           : store::read_result::status::done;
+    }
+
+    void answer(read_handler inHandler, store::read_result inResult)
+    {
+        mTimers.push_back(std::make_unique<kernel::timer>(
+            mLoop,
+            [handler = std::move(inHandler), result = std::move(inResult)] { handler(result); }));
+        mTimers.back()->startOnce(answerTime);
+    }
+
+    kernel::event_loop &mLoop;
+    std::shared_ptr<topic_map> mTopics;
+    std::vector<std::unique_ptr<kernel::timer>> mTimers;
+
+public:
+    topic_map &topics;
+};
+
+} // namespace corneltally::catalog_test
--- a/tests/unit/catalog_service_test.cpp
+++ b/tests/unit/catalog_service_test.cpp
@@ -4,12 +4,10 @@
 #include "corneltally/catalog/catalog_service.h"
 #include "corneltally/kernel/event_loop.h"
 #include "corneltally/kernel/timer.h"
+#include "tests/unit/catalog_mock_store.h"
 
 #include <algorithm>
-#include <deque>
-#include <map>
 #include <memory>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -17,108 +15,10 @@
 
 using namespace corneltally;
 using namespace std::chrono_literals;
+using catalog_test::mock_store;
 
 namespace {
 
-/// A store whose topics are filled by the test. Reads never wait for new records.
-class mock_store
-{
-public:
-    using read_handler = std::function<void(const store::read_result &)>;
-
-    struct topic
-    {
-        std::vector<store::record> records;
-        std::uint64_t first = 0;
-        std::uint64_t end = 0;
-    };
-
-    explicit mock_store(kernel::event_loop &inLoop)
-        : mLoop(inLoop)
-    { }
-
-    void readNewest(const std::string &inTopic, const std::string & /*inAfterKey*/,
-                    read_handler inHandler)
-    {
-        ++newestReads;
-        std::map<std::string, store::record> newest;
-        for (const store::record &record : topics[inTopic].records)
-            newest[record.key] = record;
-        store::read_result result{.outcome = status(), .end = topics[inTopic].end};
-        for (const auto &[key, record] : newest) {
-            if (record.value)
-                result.records.push_back(record);
-        }
-        answer(std::move(inHandler), std::move(result));
-    }
-
-    void read(const std::string &inTopic, std::uint64_t inFrom, core::duration inWait,
-              read_handler inHandler)
-    {
-        waits[inTopic].push_back(inWait);
-        const topic &source = topics[inTopic];
-        store::read_result result{.outcome = status(), .end = source.end};
-        if (inFrom < source.first)
-            result.outcome = store::read_result::status::expired;
-        for (const store::record &record : source.records) {
-            if (record.offset >= inFrom)
-                result.records.push_back(record);
-        }
-        // A read on a dead connection is never answered.
-        if (silentTopics.erase(inTopic) > 0)
-            return;
-        answer(std::move(inHandler), std::move(result));
-    }
-
-    void append(const std::string &inTopic, const std::vector<store::record> &inRecords,
-                std::optional<std::uint64_t> inExpectedEnd,
-                std::function<void(const store::append_result &)> inHandler)
-    {
-        store::append_result result{.outcome = store::append_result::status::conflict};
-        if (!inExpectedEnd || *inExpectedEnd == topics[inTopic].end) {
-            result = {store::append_result::status::accepted, topics[inTopic].end};
-            for (const store::record &record : inRecords)
-                put(inTopic, record.key, record.value);
-        }
-        mLoop.post([handler = std::move(inHandler), result] { handler(result); });
-    }
-
-    void put(const std::string &inTopic, const std::string &inKey,
-             std::optional<std::string> inValue)
-    {
-        topic &target = topics[inTopic];
-        target.records.push_back({inKey, std::move(inValue), target.end++});
-    }
-
-    /// Drops the history except for the newest record of each key.
-    void compact(const std::string &inTopic) { topics[inTopic].first = topics[inTopic].end; }
-
-    std::map<std::string, topic> topics;
-    bool unavailable = false;
-    std::set<std::string> silentTopics;
-    int newestReads = 0;
-    /// Wait times of the received reads by topic.
-    std::map<std::string, std::vector<core::duration>> waits;
-
-private:
-    store::read_result::status status() const
-    {
-        return unavailable ? store::read_result::status::unavailable
-                           : store::read_result::status::done;
-    }
-
-    void answer(read_handler inHandler, store::read_result inResult)
-    {
-        mTimers.push_back(std::make_unique<kernel::timer>(
-            mLoop,
-            [handler = std::move(inHandler), result = std::move(inResult)] { handler(result); }));
-        mTimers.back()->startOnce(2ms);
-    }
-
-    kernel::event_loop &mLoop;
-    std::vector<std::unique_ptr<kernel::timer>> mTimers;
-};
-
 std::string configuration(int inVersion)
 {
     return R"({"version":)" + std::to_string(inVersion) + R"(,"routes":[]})";
@@ -193,10 +93,10 @@
     fixture.store->put(platform::cOperatorTopic, "config", configuration(7));
     fixture.registry.startAll();
     fixture.run(50ms);
-    fixture.registry.post("catalog",
-                          catalog::operator_record_received{{"config", configuration(12), 40}});
-    fixture.registry.post("catalog",
-                          catalog::operator_record_received{{"config", configuration(11), 30}});
+    fixture.registry.post(
+        "catalog", catalog::operator_records_received{{{"config", configuration(12), 40}}, 1, 41});
+    fixture.registry.post(
+        "catalog", catalog::operator_records_received{{{"config", configuration(11), 30}}, 1, 31});
     fixture.run(50ms);
     CHECK(fixture.versions == std::vector<std::uint64_t>{7, 12});
 }
--- a/tests/unit/fleet_codec_test.cpp
+++ b/tests/unit/fleet_codec_test.cpp
@@ -37,8 +37,9 @@
     checkRoundTrip(fleet::adapter_running{"e1", 5, "base/a1", true});
     checkRoundTrip(fleet::engine_state{
         "e1", 5, true, {{{"base/a1", 1}}, {{"base/a2", {3, cNow + 250ms}}}}, {"base"}});
-    checkRoundTrip(fleet::operator_record{"config", 9, std::string("\0{}", 3)});
-    checkRoundTrip(fleet::operator_record{"gone", 9, std::nullopt});
+    checkRoundTrip(fleet::operator_records_wanted{9});
+    checkRoundTrip(fleet::operator_records{
+        {{"config", std::string("\0{}", 3), 9}, {"gone", std::nullopt, 10}}, 9, 11});
     checkRoundTrip(fleet::endpoint_records{{{"e1", "{}", 4}, {"e2", std::nullopt, 6}}, 3, 7});
 }
 
--- /dev/null
+++ b/tests/unit/fleet_operator_relay_test.cpp
@@ -0,0 +1,166 @@
+// Guards against operator records that instances relay to each other many times over. Long records
+// then fill the links, and configurations come into force too late.
+
+#include "corneltally/catalog/catalog_service.h"
+#include "corneltally/fleet/fleet_records.h"
+#include "corneltally/fleet/mesh_service.h"
+#include "corneltally/kernel/event_loop.h"
+#include "corneltally/kernel/timer.h"
+#include "tests/unit/catalog_mock_store.h"
+
+#include <charconv>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <catch2/catch.hpp>
+
+using namespace corneltally;
+using namespace std::chrono_literals;
+using catalog_test::mock_store;
+
+namespace {
+
+/// The catalog and the mesh of one instance.
+struct relay_instance
+{
+    core::metrics metrics;
+    kernel::service_registry registry;
+    mock_store *store = nullptr;
+    fleet::mesh_service *mesh = nullptr;
+    std::uint64_t version = 0;
+    std::size_t live = 0;
+
+    relay_instance(kernel::event_loop &inLoop, const std::string &inName,
+                   const std::shared_ptr<mock_store::topic_map> &inTopics)
+        : registry(inLoop)
+    {
+        mesh = &registry.add(std::make_unique<fleet::mesh_service>(
+            registry, metrics,
+            fleet::mesh_options{.self = {inName, inName, "", "z", 1}, .listen = {"127.0.0.1", 0}}));
+        REQUIRE(mesh->listen());
+        auto created = std::make_unique<mock_store>(inLoop, inTopics);
+        store = created.get();
+        registry.add(std::make_unique<catalog::catalog_service<mock_store>>(
+            registry, metrics, std::move(created),
+            catalog::catalog_options{.instance = inName,
+                                     .operatorTopic = platform::cOperatorTopic,
+                                     .endpointTopic = platform::cEndpointTopic,
+                                     .fleetTopic = fleet::cFleetTopic,
+                                     .catchUp = {.storeTime = 1s, .answerTimeout = 10s}}));
+        registry.handle<catalog::configuration_changed>(
+            "test", [this](const catalog::configuration_changed &inChanged) {
+                version = inChanged.table->version();
+            });
+        registry.handle<fleet::heartbeat_due>("test", [this](const fleet::heartbeat_due &) {
+            registry.post("mesh", fleet::heartbeat_part{});
+        });
+        registry.handle<fleet::instances_changed>(
+            "test",
+            [this](const fleet::instances_changed &inChanged) { live = inChanged.live.size(); });
+    }
+
+    std::uint64_t counter(const std::string &inName) const
+    {
+        const std::string text = metrics.toText();
+        const std::string start = "\ncorneltally_" + inName + " ";
+        const auto found = text.find(start);
+        std::uint64_t value = 0;
+        if (found != std::string::npos)
+            std::from_chars(text.data() + found + start.size(), text.data() + text.size(), value);
+        return value;
+    }
+};
+
+/// Instances that share a store and are connected to each other over the loopback interface.
+struct relay_fixture
+{
+    static constexpr int cInstances = 6;
+
+    kernel::event_loop loop;
+    std::shared_ptr<mock_store::topic_map> topics = std::make_shared<mock_store::topic_map>();
+    std::vector<std::unique_ptr<relay_instance>> instances;
+
+    relay_fixture()
+    {
+        putConfiguration(7, 0);
+        for (int index = 0; index < cInstances; ++index)
+            instances.push_back(
+                std::make_unique<relay_instance>(loop, "i" + std::to_string(index), topics));
+        for (const auto &instance : instances)
+            instance->registry.startAll();
+        REQUIRE(runUntil([this] {
+            return std::ranges::all_of(instances, [](const auto &inInstance) {
+                return inInstance->live == cInstances - 1 && inInstance->version == 7;
+            });
+        }));
+    }
+
+    void putConfiguration(int inVersion, std::size_t inBytes)
+    {
+        mock_store::topic &target = (*topics)[platform::cOperatorTopic];
+        target.records.push_back({"config",
+                                  R"({"version":)" + std::to_string(inVersion)
+                                      + R"(,"routes":[],"comment":")" + std::string(inBytes, 'x')
+                                      + "\"}",
+                                  target.end++});
+    }
+
+    void run(core::duration inTime)
+    {
+        kernel::timer end(loop, [this] { loop.stop(); });
+        end.startOnce(inTime);
+        loop.run();
+    }
+
+    template <typename Condition>
+    bool runUntil(Condition inCondition)
+    {
+        const core::time_point end = core::boot_clock::now() + 20s;
+        while (!inCondition() && core::boot_clock::now() < end)
+            run(20ms);
+        return inCondition();
+    }
+
+    std::uint64_t relayed() const
+    {
+        std::uint64_t sum = 0;
+        for (const auto &instance : instances)
+            sum += instance->counter("operator_records_relayed_total");
+        return sum;
+    }
+};
+
+} // namespace
+
+// Failure: each instance that has a record relays it to one that lacks it, with each heartbeat.
+TEST_CASE("an instance that the store does not answer gets a record from one other instance")
+{
+    relay_fixture fixture;
+    relay_instance &silent = *fixture.instances.back();
+    silent.store->silentTopics = {platform::cOperatorTopic};
+    REQUIRE(fixture.runUntil([&] { return silent.store->silentTopics.empty(); }));
+    const std::uint64_t before = fixture.relayed();
+    fixture.putConfiguration(8, 300'000);
+    CHECK(fixture.runUntil([&] { return silent.version == 8; }));
+    // Relays that are still on their way are counted as well.
+    fixture.run(500ms);
+    CHECK(fixture.relayed() - before == 1);
+}
+
+// Failure: instances that read a record from the store a little later are sent it as well.
+TEST_CASE("instances with slower links to the store are relayed nothing")
+{
+    relay_fixture fixture;
+    for (int index = 0; index < relay_fixture::cInstances; index += 2)
+        fixture.instances[index]->store->answerTime = 250ms;
+    fixture.run(500ms);
+    const std::uint64_t before = fixture.relayed();
+    fixture.putConfiguration(8, 300'000);
+    CHECK(fixture.runUntil([&] {
+        return std::ranges::all_of(fixture.instances,
+                                   [](const auto &inInstance) { return inInstance->version == 8; });
+    }));
+    fixture.run(500ms);
+    CHECK(fixture.relayed() == before);
+}
