--- a/corneltally/forwarding/event_splitter.cpp
+++ b/corneltally/forwarding/event_splitter.cpp
@@ -6,13 +6,19 @@
 
 namespace {
 
-/// Offset after the blank line that ends the first event; npos if no event is complete.
-std::size_t endOfEvent(std::string_view inText)
+constexpr std::string_view cPlainEnd = "\n\n";
+constexpr std::string_view cCarriageEnd = "\r\n\r\n";
+
+/// Offset after the blank line that ends the first event; npos if no event is complete. No event
+/// ends before inSearched bytes.
+std::size_t endOfEvent(std::string_view inText, std::size_t inSearched)
 {
-    const std::size_t plain = inText.find("\n\n");
-    const std::size_t carriage = inText.find("\r\n\r\n");
-    const std::size_t plainEnd = plain == std::string_view::npos ? plain : plain + 2;
-    const std::size_t carriageEnd = carriage == std::string_view::npos ? carriage : carriage + 4;
+    const std::size_t from = inSearched - std::min(inSearched, cCarriageEnd.size() - 1);
+    const std::size_t plain = inText.find(cPlainEnd, from);
+    const std::size_t carriage = inText.find(cCarriageEnd, from);
+    const std::size_t plainEnd = plain == std::string_view::npos ? plain : plain + cPlainEnd.size();
+    const std::size_t carriageEnd
+        = carriage == std::string_view::npos ? carriage : carriage + cCarriageEnd.size();
     return std::min(plainEnd, carriageEnd);
 }
 
@@ -38,16 +44,18 @@
 
 std::vector<event_splitter::event> event_splitter::append(std::string_view inBytes)
 {
+    std::size_t searched = mRemainder.size();
     mRemainder.append(inBytes);
     std::vector<event> events;
     std::size_t start = 0;
     while (true) {
         const std::string_view text = std::string_view(mRemainder).substr(start);
-        const std::size_t end = endOfEvent(text);
+        const std::size_t end = endOfEvent(text, searched);
         if (end == std::string_view::npos)
             break;
         events.push_back({std::string(text.substr(0, end)), idOf(text.substr(0, end))});
         start += end;
+        searched = 0;
     }
     mRemainder.erase(0, start);
     return events;
--- a/corneltally/forwarding/forward_context.h
+++ b/corneltally/forwarding/forward_context.h
@@ -45,8 +45,9 @@
     int maxLoadRetries = 3;
     /// Reading from the endpoint stops while more answer bytes than this are unsent to the caller.
     std::size_t maxUnsentBytes = 256 * 1024;
-    /// Maximum size of an answer that is buffered until it is complete.
-    std::size_t maxBufferedAnswerBytes = 256 * 1024;
+    /// Maximum size of an answer that is buffered until it is complete, and of one event of a
+    /// stream. A longer one is broken off.
+    std::size_t maxBufferedAnswerBytes = 1024 * 1024;
     /// Callers that are refused for lack of capacity are told to retry after a time between the
     /// minimum and the minimum plus the spread.
     core::duration minRetryAfter = std::chrono::milliseconds(150);
--- a/corneltally/forwarding/forwarded_request.cpp
+++ b/corneltally/forwarding/forwarded_request.cpp
@@ -222,7 +222,7 @@
                               return platform::belongsToRequest(inHead, mTerms.requestId);
                           },
                       .onHead = [this](const http1::response_head &inHead) { headArrived(inHead); },
-                      .onBody = [this](std::string_view inData) { bodyArrived(inData); },
+                      .onBody = [this](std::string_view inData) { return bodyArrived(inData); },
                       .onEnd = [this](const http1::exchange_end &inEnd) { exchangeEnded(inEnd); }});
 }
 
--- a/corneltally/forwarding/forwarded_request.h
+++ b/corneltally/forwarding/forwarded_request.h
@@ -61,10 +61,10 @@
     void send();
     void attemptEnded(attempt_result inResult, std::string_view inReason);
     void headArrived(const http1::response_head &inHead);
-    void bodyArrived(std::string_view inData);
+    bool bodyArrived(std::string_view inData);
     void exchangeEnded(const http1::exchange_end &inEnd);
     void answerComplete();
-    void forwardEvents(std::string_view inData);
+    bool forwardEvents(std::string_view inData);
     void beginAnswer(std::optional<std::uint64_t> inLength);
     void deadlineExpired();
     void adapterTimerExpired();
--- a/corneltally/forwarding/forwarded_request_answer.cpp
+++ b/corneltally/forwarding/forwarded_request_answer.cpp
@@ -75,14 +75,13 @@
         mHead = inHead;
 }
 
-void forwarded_request::bodyArrived(std::string_view inData)
+/// Returns false if the answer exceeds what is buffered of it.
+bool forwarded_request::bodyArrived(std::string_view inData)
 {
-    if (mBuffersAnswer) {
-        if (!mAnswerStarted)
-            mBody.append(inData);
-        return;
-    }
-    forwardEvents(inData);
+    if (!mBuffersAnswer)
+        return forwardEvents(inData);
+    mBody.append(inData);
+    return mBody.size() <= mContext.settings.maxBufferedAnswerBytes;
 }
 
 void forwarded_request::beginAnswer(std::optional<std::uint64_t> inLength)
@@ -94,7 +93,8 @@
     mCaller.startResponse(std::move(head), inLength);
 }
 
-void forwarded_request::forwardEvents(std::string_view inData)
+/// Returns false if an event is too long.
+bool forwarded_request::forwardEvents(std::string_view inData)
 {
     std::string bytes;
     for (event_splitter::event &event : mSplitter.append(inData)) {
@@ -107,8 +107,10 @@
             mLastEventId = event.id;
         bytes.append(event.bytes);
     }
+    const bool isWithinLimit
+        = mSplitter.remainder().size() <= mContext.settings.maxBufferedAnswerBytes;
     if (bytes.empty())
-        return;
+        return isWithinLimit;
     eventsReceived();
     if (!mAnswerStarted)
         beginAnswer(std::nullopt);
@@ -117,6 +119,7 @@
         mUpstreamReadPaused = true;
         mUpstream->setReading(false);
     }
+    return isWithinLimit;
 }
 
 void forwarded_request::callerDrained()
--- a/corneltally/http1/client_connection.cpp
+++ b/corneltally/http1/client_connection.cpp
@@ -12,6 +12,11 @@
 /// retransmitted only after a second.
 constexpr core::duration cConnectTime = std::chrono::milliseconds(400);
 
+/// Limit on the bytes of interim and discarded responses in one exchange.
+constexpr std::size_t cMaxSkippedBytes = 256 * 1024;
+/// Limit on the bytes that wait for the end of a line, which is the largest unit of the parser.
+constexpr std::size_t cMaxUnparsedBytes = message_parser::sDefaultHeaderBytes;
+
 /// Parses the timeout from a Keep-Alive value such as "timeout=5, max=100".
 std::optional<core::duration> keepAliveTimeout(std::string_view inValue)
 {
@@ -54,6 +59,7 @@
     mRunning = true;
     mHeadDelivered = false;
     mDropping = false;
+    mSkippedBytes = 0;
     mSentBefore = mStream.sentBytes();
     ++mExchanges;
     std::string bytes = formatHead(inHead);
@@ -80,16 +86,19 @@
             finish(exchange_end::kind::broken, "the bytes are not an answer");
             return;
         }
-        if (!deliver())
+        if (!deliver(taken))
             return;
-        if (taken == 0)
+        if (taken == 0) {
+            if (mStream.input().size() >= cMaxUnparsedBytes)
+                finish(exchange_end::kind::broken, "the bytes are not an answer");
             return;
+        }
     }
 }
 
 /// Reports parsed data through the events. Returns false if a handler may have destroyed the
 /// connection.
-bool client_connection::deliver()
+bool client_connection::deliver(std::size_t inParsedBytes)
 {
     if (mParser->headComplete() && !mHeadDelivered) {
         const response_head &head = mParser->response();
@@ -97,7 +106,7 @@
             // An interim response has no body and is followed by the final response.
             if (mParser->complete())
                 mParser.emplace(message_parser::kind::response);
-            return true;
+            return skip(inParsedBytes);
         }
         mHeadDelivered = true;
         mDropping = mEvents.accepts && !mEvents.accepts(head);
@@ -110,8 +119,12 @@
     if (!mRunning)
         return false;
     const std::string body = mParser->takeBody();
-    if (!body.empty() && !mDropping && mEvents.onBody)
-        mEvents.onBody(body);
+    if (!body.empty() && !mDropping && mEvents.onBody && !mEvents.onBody(body)) {
+        finish(exchange_end::kind::broken, "the answer is too long");
+        return false;
+    }
+    if (mDropping && !skip(inParsedBytes))
+        return false;
     if (mParser->complete()) {
         if (mDropping) {
             mParser.emplace(message_parser::kind::response);
@@ -125,6 +138,16 @@
     return true;
 }
 
+/// Counts bytes that are not reported. Returns false if the exchange ended because of them.
+bool client_connection::skip(std::size_t inBytes)
+{
+    mSkippedBytes += inBytes;
+    if (mSkippedBytes <= cMaxSkippedBytes)
+        return true;
+    finish(exchange_end::kind::broken, "the bytes are not an answer");
+    return false;
+}
+
 void client_connection::updateReuse(const response_head &inHead)
 {
     if (!inHead.keepAlive)
--- a/corneltally/http1/client_connection.h
+++ b/corneltally/http1/client_connection.h
@@ -42,7 +42,8 @@
         /// discarded.
         std::function<bool(const response_head &)> accepts;
         std::function<void(const response_head &)> onHead;
-        std::function<void(std::string_view inData)> onBody;
+        /// Returns whether more of the body is wanted; if not, the exchange ends as broken.
+        std::function<bool(std::string_view inData)> onBody;
         /// Last event of an exchange. The handler may destroy the connection.
         std::function<void(const exchange_end &)> onEnd;
     };
@@ -72,7 +73,8 @@
 
 private:
     void readInput();
-    bool deliver();
+    bool deliver(std::size_t inParsedBytes);
+    bool skip(std::size_t inBytes);
     void finish(exchange_end::kind inOutcome, std::string_view inReason);
     void streamEnded(stream_end inEnd);
     void updateReuse(const response_head &inHead);
@@ -87,6 +89,8 @@
     bool mReusable = true;
     bool mHeadDelivered = false;
     bool mDropping = false;
+    /// Bytes of responses that were not reported in this exchange.
+    std::size_t mSkippedBytes = 0;
     std::size_t mSentBefore = 0;
     int mExchanges = 0;
     core::time_point mLastInput;
--- a/corneltally/http1/fetcher.cpp
+++ b/corneltally/http1/fetcher.cpp
@@ -39,19 +39,23 @@
     setField(head.fields, "Host", inRequest.target.toString());
     if (!inRequest.body.empty() || head.method == "POST")
         setField(head.fields, "Content-Length", std::to_string(inRequest.body.size()));
-    entry.connection->start(
-        head, inRequest.body,
-        {.accepts = {},
-         .onHead =
-             [&entry](const response_head &inHead) {
-                 entry.result.status = inHead.status;
-                 entry.result.fields = inHead.fields;
-             },
-         .onBody = [&entry](std::string_view inData) { entry.result.body.append(inData); },
-         .onEnd =
-             [this, id](const exchange_end &inEnd) {
-                 finish(id, inEnd.outcome == exchange_end::kind::complete, inEnd.sent);
-             }});
+    entry.connection->start(head, inRequest.body,
+                            {.accepts = {},
+                             .onHead =
+                                 [&entry](const response_head &inHead) {
+                                     entry.result.status = inHead.status;
+                                     entry.result.fields = inHead.fields;
+                                 },
+                             .onBody =
+                                 [&entry, limit = inRequest.maxBodyBytes](std::string_view inData) {
+                                     entry.result.body.append(inData);
+                                     return entry.result.body.size() <= limit;
+                                 },
+                             .onEnd =
+                                 [this, id](const exchange_end &inEnd) {
+                                     finish(id, inEnd.outcome == exchange_end::kind::complete,
+                                            inEnd.sent);
+                                 }});
 }
 
 void fetcher::finish(std::uint64_t inId, bool inComplete, bool inSent)
--- a/corneltally/http1/fetcher.h
+++ b/corneltally/http1/fetcher.h
@@ -22,6 +22,8 @@
     header_fields fields;
     std::string body;
     core::duration timeout = std::chrono::seconds(2);
+    /// A longer response fails.
+    std::size_t maxBodyBytes = 8 * 1024 * 1024;
 };
 
 /// Result of a fetch. The status is zero if no complete response arrived.
--- a/tests/integration/site_forwarding_test.cpp
+++ b/tests/integration/site_forwarding_test.cpp
@@ -4,6 +4,7 @@
 
 #include "platform/names.h"
 #include "standins/site.h"
+#include "tests/integration/endless_endpoint.h"
 
 #include <algorithm>
 #include <atomic>
@@ -239,6 +240,63 @@
     CHECK(answer.status == 504);
 }
 
+namespace {
+
+/// Largest resident memory of a process so far.
+long peakKilobytes(pid_t inProcess)
+{
+    std::ifstream status("/proc/" + std::to_string(inProcess) + "/status");
+    std::string word;
+    while (status >> word && word != "VmHWM:") { }
+    long kilobytes = 0;
+    status >> kilobytes;
+    return kilobytes;
+}
+
+} // namespace
+
+// Failure: an endpoint that sends a head or a body without end fills the instance's memory.
+TEST_CASE("answers without end are broken off at once and cost little memory")
+{
+    site_fixture fixture({.instances = 1, .engines = 1, .applications = 0});
+    const std::string sealed
+        = "HTTP/1.1 200 OK\r\n" + std::string(platform::cSealField) + ": s1\r\n";
+    const std::string head = GENERATE_COPY(sealed + "Name: ", std::string(),
+                                           sealed + "Content-Length: 99999999999\r\n\r\n",
+                                           std::string("HTTP/1.1 200 OK\r\n\r\n"));
+    CAPTURE(head);
+    endless_endpoint endpoint(head);
+    const long before = peakKilobytes(fixture.fleet.process("edge-1").pid());
+    constexpr int cCalls = 8;
+    for (int index = 1; index <= cCalls; ++index) {
+        // Each call meets an endpoint that is new to the instance, which avoids failing ones.
+        const json entry{
+            {"service", "app"}, {"address", "127.0.0.1:" + std::to_string(endpoint.port())},
+            {"zone", "north"},  {"capacity", 8},
+            {"state", "ready"}, {"born", index},
+            {"sequence", 0}};
+        const json body{{"key", "endless-" + std::to_string(index)}, {"entry", entry}};
+        REQUIRE(fixture.fleet.probe()
+                    .post(fixture.fleet.process("store").port("http"), "/control/heartbeat",
+                          body.dump())
+                    .status
+                == 200);
+        http::response answer;
+        CHECK(site::waitFor([&] {
+            const auto start = std::chrono::steady_clock::now();
+            answer = fixture.call({.path = "/order/1"});
+            CHECK(std::chrono::steady_clock::now() - start < 3s);
+            return answer.status != 503;
+        }));
+        CHECK(answer.status == 502);
+    }
+    CHECK(site::waitFor([&] { return endpoint.closed() >= cCalls; }));
+    const long grown = peakKilobytes(fixture.fleet.process("edge-1").pid()) - before;
+    WARN("memory: " << before << " KB before, " << grown << " KB more");
+    // Less than if all answers were kept up to their limit of 1 MiB.
+    CHECK(grown < cCalls * 1024);
+}
+
 TEST_CASE("a request beyond its account's rate over all instances is refused with a time")
 {
     site_fixture fixture;
--- a/tests/unit/forwarding_front_test.cpp
+++ b/tests/unit/forwarding_front_test.cpp
@@ -206,20 +206,23 @@
                        {"Content-Length", "4"}};
         for (const auto &field : inMore)
             http1::setField(head.fields, field.first, field.second);
-        ioCaller.start(
-            head, "body",
-            {.accepts = {},
-             .onHead =
-                 [&outView](const http1::response_head &inHead) {
-                     outView.status = inHead.status;
-                     outView.fields = inHead.fields;
-                 },
-             .onBody = [&outView](std::string_view inData) { outView.body.append(inData); },
-             .onEnd =
-                 [this, &outView](const http1::exchange_end &inEnd) {
-                     outView.end = inEnd;
-                     loop.stop();
-                 }});
+        ioCaller.start(head, "body",
+                       {.accepts = {},
+                        .onHead =
+                            [&outView](const http1::response_head &inHead) {
+                                outView.status = inHead.status;
+                                outView.fields = inHead.fields;
+                            },
+                        .onBody =
+                            [&outView](std::string_view inData) {
+                                outView.body.append(inData);
+                                return true;
+                            },
+                        .onEnd =
+                            [this, &outView](const http1::exchange_end &inEnd) {
+                                outView.end = inEnd;
+                                loop.stop();
+                            }});
     }
 
     caller_view call(const std::string &inPath = "/a/1", const http1::header_fields &inMore = {})
@@ -386,6 +389,43 @@
     CHECK(fixture.first.ended == 1);
 }
 
+// Failure: an endpoint that sends bytes without end holds its request until the time is over, and
+// all that it sends is kept in memory.
+TEST_CASE("an answer without end is broken off and its outcome is unknown")
+{
+    front_fixture fixture;
+    fixture.configure(repetition::once, 1, 10s);
+    const std::string filler(4 * 1024 * 1024, 'x');
+    const std::string endless = "\r\nContent-Length: 99999999999\r\n\r\n" + filler;
+    int answers = 0;
+    for (const std::string &answer :
+         {filler, "HTTP/1.1 200 OK\r\nName: " + filler, "HTTP/1.1 200 OK" + endless,
+          "HTTP/1.1 200 OK\r\n" + std::string(platform::cSealField) + ": s1" + endless}) {
+        INFO(answer.substr(0, 40));
+        // After several failures the first endpoint receives only probes.
+        fixture.first.script = {{answer}};
+        fixture.second.script = {{answer}};
+        CHECK(fixture.call().status == 502);
+        fixture.settle(50ms);
+        CHECK(fixture.first.ended + fixture.second.ended == ++answers);
+    }
+}
+
+TEST_CASE("an event without end breaks its stream off")
+{
+    front_fixture fixture;
+    fixture.configure(repetition::once_stream, 1, 10s);
+    fixture.first.script = {{cStreamHead + chunk("id: 1\ndata: a\n\n")
+                             + chunk("id: 2\ndata: " + std::string(4 * 1024 * 1024, 'x'))}};
+    const core::time_point start = core::boot_clock::now();
+    const caller_view view = fixture.call();
+    CHECK(view.body == "id: 1\ndata: a\n\n");
+    CHECK(view.end.outcome == kind::broken);
+    CHECK(core::boot_clock::now() - start < 5s);
+    fixture.settle(50ms);
+    CHECK(fixture.first.ended == 1);
+}
+
 TEST_CASE("the work of a caller that disconnects is cancelled")
 {
     front_fixture fixture;
--- a/tests/unit/http1_connections_test.cpp
+++ b/tests/unit/http1_connections_test.cpp
@@ -30,6 +30,7 @@
     http1::listener listener{loop, [this](int inSocket) { accept(inSocket); }};
     kernel::timer limit{loop, [this] { loop.stop(); }};
     int connections = 0;
+    std::size_t maxBodyBytes = 1024 * 1024;
     std::string received;
 
     scripted_server()
@@ -77,7 +78,11 @@
                      return http1::findField(inHead.fields, "Id") == inId;
                  },
              .onHead = [&](const http1::response_head &inHead) { result.status = inHead.status; },
-             .onBody = [&](std::string_view inData) { result.body.append(inData); },
+             .onBody =
+                 [&](std::string_view inData) {
+                     result.body.append(inData);
+                     return result.body.size() <= maxBodyBytes;
+                 },
              .onEnd =
                  [&](const http1::exchange_end &inEnd) {
                      result.end = inEnd;
@@ -149,6 +154,52 @@
     CHECK(broken.end.sent);
 }
 
+// Failure: a server that sends bytes without end occupies the connection until the request's time
+// is over, and the memory and processor of the instance.
+TEST_CASE("bytes without end that are no response break the exchange")
+{
+    constexpr std::size_t cBytes = 4 * 1024 * 1024;
+    const std::string chunked = "HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::string filler(cBytes, 'x');
+    std::string interim;
+    while (interim.size() < cBytes)
+        interim += "HTTP/1.1 100 Continue\r\n\r\n";
+    std::string trailers = chunked + "0\r\n";
+    while (trailers.size() < cBytes)
+        trailers += "Name: value\r\n";
+    const std::vector<std::pair<std::string, std::string>> cases{
+        {"a first line without end", filler},
+        {"a field without end", "HTTP/1.1 200 OK\r\nId: a\r\nName: " + filler},
+        {"interim responses without end", interim},
+        {"a chunk size without end", chunked + std::string(cBytes, '0')},
+        {"a chunk extension without end", chunked + "5;" + filler},
+        {"trailer fields without end", trailers},
+        {"another request's body without end",
+         "HTTP/1.1 200 OK\r\nId: old\r\nContent-Length: 99999999999\r\n\r\n" + filler},
+    };
+    for (const auto &[name, bytes] : cases) {
+        INFO(name);
+        scripted_server server;
+        server.responses = {bytes};
+        const auto connection = server.connect();
+        const auto result = server.exchange(*connection, "a");
+        CHECK(result.end.outcome == kind::broken);
+        CHECK_FALSE(connection->reusable());
+    }
+}
+
+TEST_CASE("a body that its receiver does not want further breaks the exchange")
+{
+    scripted_server server;
+    server.maxBodyBytes = 1000;
+    server.responses = {"HTTP/1.1 200 OK\r\nId: a\r\n\r\n" + std::string(4096, 'x')};
+    const auto connection = server.connect();
+    const auto result = server.exchange(*connection, "a");
+    CHECK(result.end.outcome == kind::broken);
+    CHECK(result.end.sent);
+    CHECK_FALSE(connection->reusable());
+}
+
 TEST_CASE("a connection is reused only within the idle limit")
 {
     scripted_server server;
@@ -188,7 +239,11 @@
         {.method = "GET", .target = "/", .fields = {{"Host", "x"}, {"Connection", "close"}}}, "",
         {.accepts = {},
          .onHead = {},
-         .onBody = [&](std::string_view inData) { bytes += inData.size(); },
+         .onBody =
+             [&](std::string_view inData) {
+                 bytes += inData.size();
+                 return true;
+             },
          .onEnd =
              [&](const http1::exchange_end &inEnd) {
                  end = inEnd;
