--- a/corneltally/forwarding/front_service.cpp
+++ b/corneltally/forwarding/front_service.cpp
@@ -188,6 +188,8 @@
         mContext.allowance.configure(account.name, account.ratePerSecond, account.burst, now);
     }
     mContext.allowance.retainAccounts(names);
+    for (auto &[id, entry] : mCallers)
+        entry.connection->setLimits(inChanged.table->source().limits);
 }
 
 void front_service::endpointChanged(const std::string &inEndpoint)
--- a/corneltally/http1/server_connection.cpp
+++ b/corneltally/http1/server_connection.cpp
@@ -2,6 +2,7 @@
 
 #include "corneltally/kernel/event_loop.h"
 
+#include <algorithm>
 #include <array>
 #include <cstdio>
 #include <utility>
@@ -22,6 +23,7 @@
     , mLimits(inLimits)
     , mParser(message_parser::kind::request, inLimits.maxHeaderBytes)
     , mTimer(inLoop, [this] { timedOut(); })
+    , mIdleSince(core::boot_clock::now())
 {
     mStream.setEvents({.onConnected = {},
                        .onInput = [this] { readInput(); },
@@ -32,7 +34,7 @@
                                    handler();
                            },
                        .onEnd = [this](stream_end) { closed(); }});
-    armTimer(mLimits.idleTimeout);
+    armIdleTimer();
 }
 
 void server_connection::setEvents(events inEvents)
@@ -40,12 +42,29 @@
     mEvents = std::move(inEvents);
 }
 
+void server_connection::setLimits(const caller_limits &inLimits)
+{
+    if (mLimits == inLimits)
+        return;
+    mLimits = inLimits;
+    if (mPhase != phase::idle)
+        return;
+    mParser = message_parser(message_parser::kind::request, mLimits.maxHeaderBytes);
+    armIdleTimer();
+}
+
 void server_connection::armTimer(core::duration inDelay)
 {
     mTimer.cancel();
     mTimer.startOnce(inDelay);
 }
 
+void server_connection::armIdleTimer()
+{
+    const core::duration idle = core::boot_clock::now() - mIdleSince;
+    armTimer(std::max(core::duration::zero(), mLimits.idleTimeout - idle));
+}
+
 void server_connection::timedOut()
 {
     if (mPhase == phase::reading) {
@@ -200,7 +219,8 @@
     mPhase = phase::idle;
     mContinueSent = false;
     mParser = message_parser(message_parser::kind::request, mLimits.maxHeaderBytes);
-    armTimer(mLimits.idleTimeout);
+    mIdleSince = core::boot_clock::now();
+    armIdleTimer();
     // Continues with a request that arrived meanwhile.
     if (!mStream.input().empty())
         parse();
--- a/corneltally/http1/server_connection.h
+++ b/corneltally/http1/server_connection.h
@@ -54,6 +54,9 @@
 
     void setEvents(events inEvents);
 
+    /// Replaces the limits. A head that is being received keeps its size limit and its timeout.
+    void setLimits(const caller_limits &inLimits);
+
     /// Sends a complete response.
     void respond(response_head inHead, std::string_view inBody);
 
@@ -83,6 +86,7 @@
     void linger();
     void closed();
     void armTimer(core::duration inDelay);
+    void armIdleTimer();
     void timedOut();
     void writeHead(response_head &ioHead);
 
@@ -93,6 +97,7 @@
     kernel::timer mTimer;
     std::string mBody;
     core::time_point mArrived;
+    core::time_point mIdleSince;
     phase mPhase = phase::idle;
     bool mBusy = false;
     bool mHeadSent = false;
--- a/tests/unit/forwarding_front_test.cpp
+++ b/tests/unit/forwarding_front_test.cpp
@@ -114,6 +114,7 @@
                                   .retries = {.ratio = 0.2, .slack = 100}}))};
     kernel::timer limit{loop, [this] { loop.stop(); }};
     std::map<std::string, fleet::load_wanted> wanted;
+    http1::caller_limits callerLimits;
 
     front_fixture()
     {
@@ -152,6 +153,7 @@
                           .keyDigests = {core::sha256Hex("k1")},
                           .ratePerSecond = 1000,
                           .burst = 10'000}},
+            .limits = callerLimits,
             .keysRequired = true};
         registry.broadcast(catalog::configuration_changed{
             std::make_shared<const routing::routing_table>(std::move(configuration))});
@@ -270,6 +272,29 @@
     CHECK(fixture.first.requests.empty());
 }
 
+// Failure: a changed limit applies only to the connections that are opened after the change.
+TEST_CASE("changed limits of callers are in force on open connections")
+{
+    front_fixture fixture;
+    fixture.callerLimits.idleTimeout = 1s;
+    fixture.configure(repetition::once, 1);
+    fixture.first.script = {{cSealed}, {cSealed}};
+    auto caller = fixture.connect();
+    caller_view view;
+    fixture.send(*caller, view, "/a/1");
+    fixture.loop.run();
+    REQUIRE(view.status == 200);
+    fixture.callerLimits.idleTimeout = 10s;
+    fixture.configure(repetition::once, 1);
+    fixture.settle(1500ms);
+    REQUIRE(caller->reusable());
+    fixture.callerLimits.maxBodyBytes = 3;
+    fixture.configure(repetition::once, 1);
+    fixture.send(*caller, view, "/a/1");
+    fixture.loop.run();
+    CHECK(view.status == 413);
+}
+
 TEST_CASE("a request beyond the account's rate is refused with a retry time")
 {
     front_fixture fixture;
