--- a/corneltally/fleet/mesh_service.cpp
+++ b/corneltally/fleet/mesh_service.cpp
@@ -352,17 +352,27 @@
     beat.receiverLive = true;
     const std::string toLive = encode(beat, now);
     for (auto &[name, known] : mInstances) {
-        if (known.link.connection)
-            known.link.connection->send(known.live ? toLive : toSilent);
+        sendTo(known, known.live ? toLive : toSilent);
     }
 }
 
+void mesh_service::sendTo(known_instance &ioTarget, std::string_view inBody)
+{
+    if (!ioTarget.link.connection || ioTarget.link.connection->send(inBody))
+        return;
+    mMetrics.count("peer_messages_dropped_total");
+    core::logEvent(core::log_level::warning, "peer_message_dropped",
+                   {{"peer", ioTarget.description.instance},
+                    {"bytes", inBody.size()},
+                    {"backlog", ioTarget.link.connection->backlogBytes()}});
+}
+
 void mesh_service::send(const mesh_send &inSend)
 {
     const std::string bytes = encode(inSend.body, core::boot_clock::now());
     for (auto &[name, known] : mInstances) {
-        if ((inSend.instance.empty() || inSend.instance == name) && known.link.connection)
-            known.link.connection->send(bytes);
+        if (inSend.instance.empty() || inSend.instance == name)
+            sendTo(known, bytes);
     }
 }
 
@@ -372,9 +382,8 @@
     const std::string bytes = encode(
         endpoint_records{inUpdate.records, inUpdate.from, inUpdate.end}, core::boot_clock::now());
     for (auto &[name, known] : mInstances) {
-        if (known.live && known.link.connection
-            && known.description.failureDomain == mOptions.self.failureDomain)
-            known.link.connection->send(bytes);
+        if (known.live && known.description.failureDomain == mOptions.self.failureDomain)
+            sendTo(known, bytes);
     }
 }
 
--- a/corneltally/fleet/mesh_service.h
+++ b/corneltally/fleet/mesh_service.h
@@ -14,6 +14,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace corneltally::core {
@@ -97,6 +98,7 @@
     void tick();
     void sendHeartbeats(const heartbeat_part &inPart);
     void send(const mesh_send &inSend);
+    void sendTo(known_instance &ioTarget, std::string_view inBody);
     void relayRecords(const store::topic_update &inUpdate);
     void updateReader();
     void publishInstances();
--- a/corneltally/peer/frame.h
+++ b/corneltally/peer/frame.h
@@ -8,8 +8,8 @@
 
 namespace corneltally::peer {
 
-/// Size limit of a frame's body.
-inline constexpr std::size_t cMaxFrameBytes = 1024 * 1024;
+/// Size limit of a frame's body, which must hold the largest configuration.
+inline constexpr std::size_t cMaxFrameBytes = 8 * 1024 * 1024;
 
 /// Size of the little-endian length prefix of each body.
 inline constexpr std::size_t cFrameHeaderBytes = 4;
--- a/tests/unit/fleet_operator_relay_test.cpp
+++ b/tests/unit/fleet_operator_relay_test.cpp
@@ -148,6 +148,17 @@
     CHECK(fixture.relayed() - before == 1);
 }
 
+// Failure: a record beyond the size limit of a frame is dropped without notice.
+TEST_CASE("a long record is relayed as well")
+{
+    relay_fixture fixture;
+    relay_instance &silent = *fixture.instances.back();
+    silent.store->silentTopics = {platform::cOperatorTopic};
+    REQUIRE(fixture.runUntil([&] { return silent.store->silentTopics.empty(); }));
+    fixture.putConfiguration(8, 3'000'000);
+    CHECK(fixture.runUntil([&] { return silent.version == 8; }));
+}
+
 // Failure: instances that read a record from the store a little later are sent it as well.
 TEST_CASE("instances with slower links to the store are relayed nothing")
 {
