--- a/corneltally/entry/settings_sync_options.h
+++ b/corneltally/entry/settings_sync_options.h
@@ -23,6 +23,9 @@
     core::duration maxRetryDelay = std::chrono::seconds(2);
     /// Period of requests to peers for missing records.
     core::duration peerPeriod = std::chrono::milliseconds(500);
+    /// Another peer that reports a newer version is asked if the one asked before has not answered
+    /// for this long.
+    core::duration peerAnswerTime = std::chrono::milliseconds(500);
     core::duration snapshotCheckPeriod = std::chrono::seconds(5);
 };
 
--- a/corneltally/entry/settings_sync_service.h
+++ b/corneltally/entry/settings_sync_service.h
@@ -53,6 +53,7 @@
     void receiveSnapshot(const peer_received<settings_snapshot> &inSnapshot);
     void forwardToPeers(const std::vector<platform::log_record> &inRecords, std::uint64_t inFrom);
     void requestRecords(const std::string &inInstance);
+    void requestNewer(const std::string &inInstance);
     void recordVerdicts(const verdicts &inVerdicts);
     void publish();
     void broadcastSettings();
@@ -79,6 +80,9 @@
     std::optional<core::time_point> mConfirmed;
     /// When the log itself last confirmed this.
     std::optional<core::time_point> mLogConfirmed;
+    /// When a peer that reported a newer version was last asked for it, and the version known then.
+    std::optional<core::time_point> mAskedAt;
+    std::uint64_t mAskedWithVersion = 0;
     std::vector<std::string> mLive;
     std::set<std::string, std::less<>> mLeaving;
     std::vector<std::string> mSnapshotParts;
@@ -133,7 +137,7 @@
         name(), [this](const peer_connected &inPeer) { requestRecords(inPeer.instance); });
     mRegistry.handle<peer_settings_version>(name(), [this](const peer_settings_version &inPeer) {
         if (inPeer.version > mReplica.tree().version())
-            requestRecords(inPeer.instance);
+            requestNewer(inPeer.instance);
     });
     mRegistry.handle<endpoints_leaving>(name(), [this](const endpoints_leaving &inLeaving) {
         mLeaving = inLeaving.names;
@@ -326,6 +330,19 @@
     mRegistry.post("peers", peer_send{inInstance, settings_request{next == 0 ? 0 : next - 1}});
 }
 
+/// Asks a peer that reported a newer version, one peer at a time.
+template <platform::log_service Log>
+void settings_sync_service<Log>::requestNewer(const std::string &inInstance)
+{
+    const core::time_point now = core::boot_clock::now();
+    const std::uint64_t version = mReplica.tree().version();
+    if (mAskedAt && mAskedWithVersion == version && now - *mAskedAt < mOptions.peerAnswerTime)
+        return;
+    mAskedAt = now;
+    mAskedWithVersion = version;
+    requestRecords(inInstance);
+}
+
 template <platform::log_service Log>
 void settings_sync_service<Log>::recordVerdicts(const verdicts &inVerdicts)
 {
--- a/tests/unit/settings_sync_test.cpp
+++ b/tests/unit/settings_sync_test.cpp
@@ -109,6 +109,8 @@
     std::string name;
     bool logReachable = true;
     bool peersReachable = true;
+    /// Requests for records that were sent to one peer.
+    int requests = 0;
     kernel::service_registry registry;
     sync_service *sync = nullptr;
     std::shared_ptr<const settings::settings_index> settingsIndex;
@@ -161,8 +163,11 @@
         return added;
     }
 
-    void deliver(const instance &inSource, const entry::peer_send &inSend)
+    void deliver(instance &inSource, const entry::peer_send &inSend)
     {
+        if (!inSend.instance.empty()
+            && std::holds_alternative<entry::settings_request>(inSend.message))
+            ++inSource.requests;
         for (const auto &target : instances) {
             if (target.get() == &inSource || !inSource.peersReachable || !target->peersReachable
                 || (!inSend.instance.empty() && inSend.instance != target->name))
@@ -250,6 +255,28 @@
     CHECK(*isolated.confirmed < core::boot_clock::now() - 4s);
 }
 
+// Failure: each of the peers that report a newer version, several times a second, is asked for the
+// same records.
+TEST_CASE("an instance that lacks a version asks one of the peers that report it, then the next")
+{
+    fleet test;
+    test.publish("1");
+    instance &isolated = test.add();
+    test.waitFor([&] { return isolated.adapterVersion() == "1"; });
+    isolated.peersReachable = false;
+    const auto report = [&] {
+        for (const char *peer : {"p1", "p2", "p3", "p4", "p5"})
+            isolated.registry.broadcast(entry::peer_settings_version{peer, 2});
+        test.runFor(20ms);
+    };
+    for (int round = 0; round < 3; ++round)
+        report();
+    CHECK(isolated.requests == 1);
+    test.runFor(entry::settings_sync_options().peerAnswerTime);
+    report();
+    CHECK(isolated.requests == 2);
+}
+
 TEST_CASE("an instance that loses the log and its peers keeps its tree and catches up later")
 {
     fleet test;
