--- a/corneltally/fleet/fleet_codec.cpp
+++ b/corneltally/fleet/fleet_codec.cpp
@@ -163,7 +163,7 @@
     {
         wire::OperatorRecordsWantedT target;
         target.from = inWanted.from;
-        body.Set(std::move(target));
+        body.Set(target);
     }
 
     void operator()(const operator_records &inRecords)
