Log the shared prompt parts of requests and of failed attempts

The log named the endpoint and the request of a failed attempt, but nothing that requests have in common, so it could not tell whether endpoints end by load, by repeats or by what a prompt holds.

--- a/corneltally/engines/endpoint_choice.cpp
+++ b/corneltally/engines/endpoint_choice.cpp
@@ -154,6 +154,14 @@
     return names;
 }
 
+std::string sharedPartIds(const work_request &inRequest)
+{
+    std::string ids;
+    for (std::size_t index = 0; index + 1 < inRequest.parts.size(); ++index)
+        ids.append(ids.empty() ? "" : ",").append(inRequest.parts[index].id);
+    return ids;
+}
+
 std::optional<endpoint_choice> chooseEndpoint(endpoint_table &ioTable,
                                               const work_request &inRequest,
                                               const std::string &inFailureDomain,
--- a/corneltally/engines/endpoint_choice.h
+++ b/corneltally/engines/endpoint_choice.h
@@ -106,6 +106,9 @@
 /// the request alone, is left out.
 std::vector<std::string> sharedPartNames(const work_request &inRequest);
 
+/// Ids of the prompt parts that other requests may share, separated by commas, for the log.
+std::string sharedPartIds(const work_request &inRequest);
+
 /// Chooses the endpoint with the lowest cost, which is the estimated time to the first event plus
 /// penalties; nothing if no endpoint can serve the request.
 std::optional<endpoint_choice> chooseEndpoint(endpoint_table &ioTable,
--- a/corneltally/forwarding/forwarded_request.cpp
+++ b/corneltally/forwarding/forwarded_request.cpp
@@ -366,6 +366,8 @@
                     {"status", mHeadReceived ? mAnswer.status : 0},
                     {"reason", inReason},
                     {"run", toString(mRunState)},
+                    {"send", mSendCount},
+                    {"parts", engines::sharedPartIds(mWork)},
                     {"ms", inMs(now - mSentAt)}});
     // The reasons are label values, so their texts, also those from http1, must stay as they are.
     mContext.metrics.count("attempts_failed_total{reason=\"" + std::string(inReason) + "\"}");
--- a/corneltally/forwarding/forwarded_request_answer.cpp
+++ b/corneltally/forwarding/forwarded_request_answer.cpp
@@ -252,6 +252,7 @@
                     {"configuration", mTable ? mTable->version() : 0},
                     {"endpoint", mChoice.endpoint},
                     {"adapter", mWork.adapter},
+                    {"parts", engines::sharedPartIds(mWork)},
                     {"sends", mSendCount},
                     {"loads", mLoadsRequested},
                     {"status", inStatus},
