--- /dev/null
+++ b/tests/unit/forwarding_crashing_part_test.cpp
@@ -0,0 +1,79 @@
+// Tests what reaches endpoints when a part of some prompts ends each endpoint that begins to answer
+// it, over real connections.
+
+#include "forwarding_front_fixture.h"
+
+#include <algorithm>
+
+using namespace corneltally;
+using namespace corneltally::front_test;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Engines that end when they begin to answer a prompt with the part "dead", and come back with a
+/// new start time.
+struct crashing_engines
+{
+    static constexpr int cCount = 8;
+
+    front_fixture fixture;
+    std::vector<std::unique_ptr<endpoint_server>> servers;
+    /// Requests with the part that reached an engine.
+    int crashes = 0;
+
+    crashing_engines()
+    {
+        fixture.configure(routing::repetition::resumable_stream, 2);
+        for (int index = 0; index < cCount; ++index) {
+            servers.push_back(std::make_unique<endpoint_server>(fixture.loop));
+            start(index, 1);
+        }
+    }
+
+    void start(int inIndex, std::uint64_t inStartedMs)
+    {
+        endpoint_server &server = *servers[static_cast<std::size_t>(inIndex)];
+        const std::string id = "engine" + std::to_string(inIndex);
+        server.answers = [this, inIndex, inStartedMs](const std::string &inRequest) {
+            if (inRequest.find("dead:") == std::string::npos)
+                return scripted_answer{cStreamHead + chunk("id: 1\n\n") + chunk("")};
+            ++crashes;
+            fixture.loop.post([this, inIndex, inStartedMs] { start(inIndex, inStartedMs + 1); });
+            return scripted_answer{cStreamHead, true};
+        };
+        fixture.announce(id, "models", server, inStartedMs);
+        fixture.engineState({}, id, inStartedMs);
+    }
+
+    caller_view call(const std::string &inParts, int inNumber)
+    {
+        return fixture.call(
+            "/lm/1",
+            {{std::string(platform::cRequestIdField), "id" + std::to_string(inNumber)},
+             {std::string(platform::cModelField), "base"},
+             {std::string(platform::cTokenCountField), "30,10"},
+             {std::string(platform::cPromptPrefixField),
+              inParts + ",own" + std::to_string(inNumber) + ":10"}});
+    }
+};
+
+} // namespace
+
+// Failure: requests with a part under which endpoints end were sent, and repeated, to one endpoint
+// after another.
+TEST_CASE("requests with a part that ends endpoints do not reach more than a few of them",
+          "[.known-red]")
+{
+    constexpr int cRounds = 10;
+    crashing_engines engines;
+    int sound = 0;
+    for (int round = 0; round < cRounds; ++round) {
+        engines.call("common:10,dead:10", 2 * round);
+        engines.fixture.settle(300ms);
+        sound += engines.call("common:10", 2 * round + 1).status == 200 ? 1 : 0;
+    }
+    INFO(engines.crashes << " endpoints ended");
+    CHECK(engines.crashes <= 5 + 3);
+    CHECK(sound == cRounds);
+}
