--- a/corneltally/engines/endpoint_table.cpp
+++ b/corneltally/engines/endpoint_table.cpp
@@ -53,6 +53,12 @@
     return core::stableHash(inEndpoint);
 }
 
+std::uint64_t startDigest(std::string_view inEndpoint, std::uint64_t inStartedMs)
+{
+    std::string name(inEndpoint);
+    return core::stableHash(name.append("@").append(std::to_string(inStartedMs)));
+}
+
 adapter_digest digestOf(std::string_view inEndpoint, std::string_view inAdapterKey)
 {
     std::string name(inEndpoint);
--- a/corneltally/engines/endpoint_table.h
+++ b/corneltally/engines/endpoint_table.h
@@ -56,6 +56,8 @@
 using adapter_digest = std::uint64_t;
 
 endpoint_digest digestOf(std::string_view inEndpoint);
+/// Digest of one start of an endpoint.
+std::uint64_t startDigest(std::string_view inEndpoint, std::uint64_t inStartedMs);
 adapter_digest digestOf(std::string_view inEndpoint, std::string_view inAdapterKey);
 
 /// State of one endpoint as this instance knows it.
--- a/corneltally/fleet/fleet_codec.cpp
+++ b/corneltally/fleet/fleet_codec.cpp
@@ -127,6 +127,49 @@
     return pauses;
 }
 
+std::unique_ptr<wire::QuarantineStateT>
+encodeQuarantine(const quarantine::quarantine_state &inState, core::time_point inNow)
+{
+    if (inState == quarantine::quarantine_state())
+        return nullptr;
+    auto target = std::make_unique<wire::QuarantineStateT>();
+    for (const auto &[start, loss] : inState.losses) {
+        auto entry = std::make_unique<wire::EndpointLossT>();
+        entry->start = start;
+        entry->at_us = (loss.at - inNow).count();
+        for (const auto &[part, parent] : loss.parts)
+            entry->parts.emplace_back(part, parent);
+        target->losses.push_back(std::move(entry));
+    }
+    for (const auto &[subject, at] : inState.answers)
+        target->answers.emplace_back(subject, (at - inNow).count());
+    for (const auto &[part, state] : inState.parts)
+        target->parts.emplace_back(part, (state.since - inNow).count(),
+                                   (state.until - inNow).count(), state.round, state.cleared);
+    return target;
+}
+
+quarantine::quarantine_state decodeQuarantine(const wire::QuarantineStateT *inBody,
+                                              core::time_point inNow)
+{
+    quarantine::quarantine_state decoded;
+    if (inBody == nullptr)
+        return decoded;
+    const auto timeOf = [&](std::int64_t inRelative) { return inNow + core::duration(inRelative); };
+    for (const auto &entry : inBody->losses) {
+        quarantine::endpoint_loss &loss = decoded.losses[entry->start];
+        loss.at = timeOf(entry->at_us);
+        for (const wire::LostPart &part : entry->parts)
+            loss.parts.emplace(part.part(), part.parent());
+    }
+    for (const wire::LastAnswer &answer : inBody->answers)
+        decoded.answers[answer.subject()] = timeOf(answer.at_us());
+    for (const wire::QuarantinedPart &part : inBody->parts)
+        decoded.parts[part.part()]
+            = {part.round(), part.cleared(), timeOf(part.since_us()), timeOf(part.until_us())};
+    return decoded;
+}
+
 void encodeInstances(const std::vector<summarized_instance> &inInstances,
                      wire::DomainSummaryT &ioTarget)
 {
@@ -187,6 +230,7 @@
         target.pauses = encodePauses(inHeartbeat.pauses);
         target.sent_at_us = inHeartbeat.sentAt.time_since_epoch().count();
         target.store_failing = inHeartbeat.storeFailing;
+        target.quarantine = encodeQuarantine(inHeartbeat.quarantine, now);
         body.Set(std::move(target));
     }
 
@@ -293,11 +337,12 @@
             entry->holder = engine.holder;
             target.engine_states.push_back(std::move(entry));
         }
+        target.quarantine = encodeQuarantine(inSummary.quarantine, now);
         body.Set(std::move(target));
     }
 };
 
-message decodeHeartbeat(const wire::HeartbeatT &inBody)
+message decodeHeartbeat(const wire::HeartbeatT &inBody, core::time_point inNow)
 {
     heartbeat decoded{.operatorEnd = inBody.operator_end,
                       .draining = inBody.draining,
@@ -307,7 +352,8 @@
                       .adaptersRunning = inBody.adapters_running,
                       .pauses = decodePauses(inBody.pauses),
                       .sentAt = core::time_point(core::duration(inBody.sent_at_us)),
-                      .storeFailing = inBody.store_failing};
+                      .storeFailing = inBody.store_failing,
+                      .quarantine = decodeQuarantine(inBody.quarantine.get(), inNow)};
     for (const auto &use : inBody.account_uses)
         decoded.accountUses.push_back({use->account, use->amount});
     return decoded;
@@ -353,6 +399,7 @@
         decoded.instances[total.instance()].accountUses.push_back(
             {inBody.accounts[total.account()], total.amount()});
     }
+    decoded.quarantine = decodeQuarantine(inBody.quarantine.get(), inNow);
     for (const auto &entry : inBody.engine_states)
         decoded.engines.push_back({entry->holder, decodeState(*entry, inNow)});
     return decoded;
@@ -383,7 +430,7 @@
         return hello{body->instance,    body->machine,      body->address, body->failure_domain,
                      body->incarnation, body->operator_end, body->protocol};
     if (const auto *body = envelope.body.AsHeartbeat())
-        return decodeHeartbeat(*body);
+        return decodeHeartbeat(*body, inNow);
     if (const auto *body = envelope.body.AsLoadWanted())
         return load_wanted{body->endpoint, body->started_ms, body->model,
                            body->adapter,  body->version,    body->tokens};
--- a/corneltally/fleet/fleet_messages.h
+++ b/corneltally/fleet/fleet_messages.h
@@ -3,6 +3,7 @@
 #include "corneltally/engines/endpoint_table.h"
 #include "corneltally/fleet/heard_domain.h"
 #include "corneltally/limits/fleet_allowance.h"
+#include "corneltally/quarantine/quarantine_state.h"
 #include "corneltally/store/record.h"
 
 #include <compare>
@@ -64,6 +65,7 @@
     core::time_point sentAt;
     /// Whether the sender's reads of the store fail.
     bool storeFailing = false;
+    quarantine::quarantine_state quarantine;
 
     friend bool operator==(const heartbeat &, const heartbeat &) = default;
 };
@@ -216,6 +218,7 @@
     std::vector<answer_pause> pauses;
     /// Engines whose state changed or was repeated since the sender's last summary.
     std::vector<summarized_engine> engines;
+    quarantine::quarantine_state quarantine;
 
     friend bool operator==(const domain_summary &, const domain_summary &) = default;
 };
--- a/corneltally/fleet/mesh_messages.h
+++ b/corneltally/fleet/mesh_messages.h
@@ -59,6 +59,7 @@
     std::vector<engines::adapter_digest> adapterUses;
     std::vector<engines::adapter_digest> adaptersRunning;
     std::vector<answer_pause> pauses;
+    quarantine::quarantine_state quarantine;
 };
 
 } // namespace corneltally::fleet
--- a/corneltally/fleet/mesh_service.cpp
+++ b/corneltally/fleet/mesh_service.cpp
@@ -498,7 +498,8 @@
                    .loads = inPart.loads,
                    .adapterUses = inPart.adapterUses,
                    .adaptersRunning = inPart.adaptersRunning,
-                   .pauses = inPart.pauses};
+                   .pauses = inPart.pauses,
+                   .quarantine = inPart.quarantine};
     const core::time_point now = core::boot_clock::now();
     beat.sentAt = now;
     beat.storeFailing = mStoreFailing;
--- a/corneltally/fleet/summary_builder.cpp
+++ b/corneltally/fleet/summary_builder.cpp
@@ -58,6 +58,7 @@
             sum.memoryTokens += load.memoryTokens;
         }
         running.insert(state.last.adaptersRunning.begin(), state.last.adaptersRunning.end());
+        summary.quarantine.merge(state.last.quarantine);
     }
     summary.adaptersRunning.assign(running.begin(), running.end());
     for (const auto &[endpoint, engine] : mEngines)
--- a/corneltally/forwarding/forward_context.h
+++ b/corneltally/forwarding/forward_context.h
@@ -7,6 +7,7 @@
 #include "corneltally/http1/connection_pool.h"
 #include "corneltally/limits/fleet_allowance.h"
 #include "corneltally/limits/fleet_retry_budget.h"
+#include "corneltally/quarantine/part_quarantine.h"
 
 #include <cstdint>
 #include <map>
@@ -75,6 +76,7 @@
     http1::connection_pool pool;
     limits::fleet_allowance allowance;
     limits::fleet_retry_budget retries;
+    quarantine::part_quarantine quarantine;
     /// Newest adapter versions named by the operator, by "model/adapter".
     std::map<std::string, std::uint64_t, std::less<>> namedVersions;
     /// Adapters used by the requests sent since the last heartbeat.
--- a/corneltally/forwarding/forwarded_request.cpp
+++ b/corneltally/forwarding/forwarded_request.cpp
@@ -39,6 +39,11 @@
      {2, "2"},
      {4, "4"},
      {std::numeric_limits<double>::infinity(), "+Inf"}}};
+/// A prompt part that crashes endpoints does so when the answer begins. An endpoint that still
+/// writes events this long after the first one is not crashed by the prompt.
+constexpr core::duration cPartProofTime = milliseconds(100);
+/// Shortest time after which a caller whose prompt holds a quarantined part may return.
+constexpr core::duration cMinHoldAnswer = std::chrono::seconds(1);
 /// Shorter estimates count as this in the histogram.
 constexpr core::duration cMinEstimate = milliseconds(1);
 
@@ -150,10 +155,58 @@
         mWork.parts = mTerms.parts;
         mWork.expectedTokens = mTerms.expectedTokens;
         mWork.targetPause = mRoute->targetPause;
+        // The last part belongs to the request alone.
+        for (std::size_t index = 0; index + 1 < mWork.parts.size(); ++index)
+            mSharedParts.emplace_back(mWork.parts[index].id,
+                                      index > 0 ? mSharedParts.back().digest : 0);
     }
     return true;
 }
 
+/// Ends the request and returns false if a part of its prompt is in quarantine.
+bool forwarded_request::admitParts()
+{
+    using admission = quarantine::part_quarantine::admission;
+    const core::time_point now = core::boot_clock::now();
+    const admission result = mContext.quarantine.admit(mSharedParts, now);
+    if (result == admission::allowed)
+        return true;
+    if (result == admission::probe) {
+        mIsProbe = true;
+        mContext.quarantine.probeStarted(mSharedParts, now);
+        core::logEvent(core::log_level::info, "part_probed",
+                       {{"request", mTerms.requestId}, {"parts", engines::sharedPartIds(mWork)}});
+        return true;
+    }
+    constexpr std::string_view cReason = "a part of the prompt is in quarantine";
+    mContext.metrics.count("quarantined_requests_total");
+    if (mRunState == run_state::not_run)
+        refuse(503, cReason,
+               std::max(cMinHoldAnswer, mContext.quarantine.holdLeft(mSharedParts, now)));
+    else
+        answerUnknown(cReason);
+    return false;
+}
+
+void forwarded_request::partsQuarantined()
+{
+    const bool isUnanswered
+        = mState == state::waiting || (mState == state::sent && !mFirstByteAt && !mAnswerStarted);
+    if (!isUnanswered || mIsProbe
+        || mContext.quarantine.admit(mSharedParts, core::boot_clock::now())
+            == quarantine::part_quarantine::admission::allowed)
+        return;
+    if (mState == state::sent) {
+        if (mUpstream && mUpstream->sent() && mRunState == run_state::not_run)
+            mRunState = run_state::unknown;
+        if (engines::endpoint *target = currentTarget())
+            target->health.abandoned();
+    }
+    cancelAttempt();
+    uncountWaiting();
+    admitParts();
+}
+
 core::duration forwarded_request::timeLeft() const
 {
     return mAnswerDeadline - core::boot_clock::now();
@@ -164,6 +217,8 @@
     const core::time_point now = core::boot_clock::now();
     uncountWaiting();
     mState = state::received;
+    if (!admitParts())
+        return;
     const auto named = mContext.namedVersions.find(engines::adapterKey(mWork.model, mWork.adapter));
     mWork.version = named == mContext.namedVersions.end() ? 0 : named->second;
     const auto choice = engines::chooseEndpoint(mContext.endpoints, mWork, mContext.failureDomain,
@@ -246,6 +301,13 @@
                       .onEnd = [this](const http1::exchange_end &inEnd) { exchangeEnded(inEnd); }});
 }
 
+/// The endpoint of the current attempt; null if it has restarted since or is gone.
+engines::endpoint *forwarded_request::currentTarget()
+{
+    engines::endpoint *target = mContext.endpoints.find(mChoice.endpoint);
+    return target != nullptr && target->entry.startedMs == mEndpointStart ? target : nullptr;
+}
+
 void forwarded_request::countLoad()
 {
     engines::endpoint &target = *mContext.endpoints.find(mChoice.endpoint);
@@ -269,6 +331,16 @@
         mLongestPause = std::max(mLongestPause, now - mLastByteAt);
     mLastByteAt = now;
     firstEventReceived();
+    if (!mPartsProved && now - *mFirstByteAt >= cPartProofTime)
+        partsProved();
+}
+
+/// Records that the prompt did not crash the endpoint.
+void forwarded_request::partsProved()
+{
+    mPartsProved = true;
+    mContext.quarantine.answered(engines::startDigest(mChoice.endpoint, mEndpointStart),
+                                 mSharedParts, mSentAt, core::boot_clock::now());
 }
 
 void forwarded_request::firstEventReceived()
@@ -280,8 +352,7 @@
     if (!mPromptCounted)
         return;
     mPromptCounted = false;
-    engines::endpoint *target = mContext.endpoints.find(mChoice.endpoint);
-    if (target != nullptr && target->entry.startedMs == mEndpointStart)
+    if (engines::endpoint *target = currentTarget())
         target->own.promptTokens -= mWork.promptTokens;
 }
 
@@ -309,9 +380,9 @@
     if (!mLoadCounted)
         return;
     mLoadCounted = false;
-    engines::endpoint *target = mContext.endpoints.find(mChoice.endpoint);
+    engines::endpoint *target = currentTarget();
     // The counters were reset if the endpoint has restarted since.
-    if (target == nullptr || target->entry.startedMs != mEndpointStart)
+    if (target == nullptr)
         return;
     --target->own.requests;
     const auto running = target->ownRunning.find(engines::adapterKey(mWork.model, mWork.adapter));
@@ -330,6 +401,8 @@
     using kind = http1::exchange_end::kind;
     if (inEnd.outcome != kind::complete) {
         mUpstream.reset();
+        if (inEnd.sent && inEnd.connectionLost)
+            endpointLost();
         attemptEnded(inEnd.sent ? attempt_result::broken : attempt_result::not_sent, inEnd.reason);
         return;
     }
@@ -347,11 +420,22 @@
         passFailure();
 }
 
+/// Records that the endpoint may have crashed and that this request may be the cause.
+void forwarded_request::endpointLost()
+{
+    const core::time_point now = core::boot_clock::now();
+    if (mPartsProved || (mFirstByteAt && mSendCount == 1 && now - *mFirstByteAt >= cPartProofTime))
+        partsProved();
+    else
+        mContext.quarantine.endpointLost(engines::startDigest(mChoice.endpoint, mEndpointStart),
+                                         mSharedParts, now);
+}
+
 void forwarded_request::attemptEnded(attempt_result inResult, std::string_view inReason)
 {
     const core::time_point now = core::boot_clock::now();
-    engines::endpoint *target = mContext.endpoints.find(mChoice.endpoint);
-    const bool isSameStart = target != nullptr && target->entry.startedMs == mEndpointStart;
+    engines::endpoint *target = currentTarget();
+    const bool isSameStart = target != nullptr;
     const attempt_facts facts{.result = inResult,
                               .kind = mRoute->kind,
                               .endpointsUsed = static_cast<int>(mUsedEndpoints.size()),
@@ -430,8 +514,7 @@
     }
     if (mState == state::sent) {
         const bool sent = mUpstream && mUpstream->sent();
-        engines::endpoint *target = mContext.endpoints.find(mChoice.endpoint);
-        if (target != nullptr && target->entry.startedMs == mEndpointStart)
+        if (engines::endpoint *target = currentTarget())
             target->health.failed(core::boot_clock::now());
         cancelAttempt();
         if (sent && mRunState == run_state::not_run)
@@ -454,8 +537,8 @@
 {
     if (mState == state::done)
         return;
-    engines::endpoint *target = mContext.endpoints.find(mChoice.endpoint);
-    if (mLoadCounted && target != nullptr && target->entry.startedMs == mEndpointStart)
+    engines::endpoint *target = currentTarget();
+    if (mLoadCounted && target != nullptr)
         target->health.abandoned();
     const bool sent = mUpstream && mUpstream->sent();
     cancelAttempt();
--- a/corneltally/forwarding/forwarded_request.h
+++ b/corneltally/forwarding/forwarded_request.h
@@ -7,6 +7,7 @@
 #include "corneltally/http1/client_connection.h"
 #include "corneltally/http1/server_connection.h"
 #include "corneltally/kernel/timer.h"
+#include "corneltally/quarantine/shared_part.h"
 #include "corneltally/routing/request_terms.h"
 #include "corneltally/routing/routing_table.h"
 
@@ -45,6 +46,10 @@
     /// there reacts.
     void endpointChanged(std::string_view inEndpoint);
 
+    /// Called when parts were quarantined. Ends the request if it has one of them and no event was
+    /// received.
+    void partsQuarantined();
+
     bool isWaitingFor(std::string_view inEndpoint) const
     {
         return mState == state::waiting && mChoice.endpoint == inEndpoint;
@@ -55,6 +60,7 @@
 
     bool resolveRoute();
     bool admit();
+    bool admitParts();
     void chooseAndSend();
     void sendOrAwaitAdapter();
     void requestAdapterLoad();
@@ -63,6 +69,9 @@
     void headArrived(const http1::response_head &inHead);
     bool bodyArrived(std::string_view inData);
     void exchangeEnded(const http1::exchange_end &inEnd);
+    void partsProved();
+    void endpointLost();
+    engines::endpoint *currentTarget();
     void answerComplete();
     bool forwardEvents(std::string_view inData);
     void beginAnswer(std::optional<std::uint64_t> inLength);
@@ -102,6 +111,11 @@
     std::string mAccount;
     std::optional<int> mPriority;
     engines::work_request mWork;
+    std::vector<quarantine::shared_part> mSharedParts;
+    /// Whether an endpoint answered long enough to show that no part crashes it.
+    bool mPartsProved = false;
+    /// Whether the request tests a part in quarantine.
+    bool mIsProbe = false;
     engines::endpoint_choice mChoice;
     std::uint64_t mEndpointStart = 0;
     kernel::timer mDeadline;
--- a/corneltally/forwarding/forwarded_request_answer.cpp
+++ b/corneltally/forwarding/forwarded_request_answer.cpp
@@ -134,11 +134,11 @@
 {
     const core::time_point now = core::boot_clock::now();
     firstEventReceived();
-    engines::endpoint *target = mContext.endpoints.find(mChoice.endpoint);
-    if (target != nullptr && target->entry.startedMs == mEndpointStart) {
+    if (engines::endpoint *target = currentTarget()) {
         target->health.succeeded(*mFirstByteAt - mSentAt, now);
         recordPause(*target);
     }
+    partsProved();
     uncountLoad();
     mRunState = run_state::ran;
     if (mBuffersAnswer) {
--- a/corneltally/forwarding/front_service.cpp
+++ b/corneltally/forwarding/front_service.cpp
@@ -10,6 +10,8 @@
 #include "corneltally/routing/routing_table.h"
 
 #include <algorithm>
+#include <array>
+#include <cstdio>
 #include <set>
 #include <utility>
 
@@ -35,6 +37,7 @@
                .pool = http1::connection_pool(ioRegistry.loop(), {}),
                .allowance = {},
                .retries = limits::fleet_retry_budget(mOptions.retries),
+               .quarantine = quarantine::part_quarantine(mOptions.instance),
                .namedVersions = {},
                .adapterUses = {},
                .stopAt = {}}
@@ -92,6 +95,7 @@
             for (const fleet::live_candidate &instance : inChanged.live)
                 live.insert(instance.name);
             mContext.endpoints.setLiveHolders(live);
+            mContext.quarantine.setLive(std::move(live));
         });
     ioRegistry.handle<fleet::heartbeat_due>(
         cName, [this](const fleet::heartbeat_due &) { sendHeartbeatPart(); });
@@ -239,6 +243,7 @@
             mContext.endpoints.recordPause(seen.endpoint, seen.pause);
         mContext.allowance.applyPeerTotals(inReceived.instance, inReceived.incarnation,
                                            beat->accountUses, true, now);
+        quarantineReported(beat->quarantine);
     }
 }
 
@@ -257,6 +262,52 @@
     }
     for (const fleet::summarized_engine &engine : inSummary.engines)
         engineStateReceived(engine.holder, engine.state);
+    quarantineReported(inSummary.quarantine);
+}
+
+void front_service::quarantineReported(const quarantine::quarantine_state &inState)
+{
+    if (inState == quarantine::quarantine_state())
+        return;
+    mContext.quarantine.applyPeer(inState, core::boot_clock::now());
+    updateQuarantine();
+}
+
+/// Logs changes of the quarantine and ends the requests that they concern.
+void front_service::updateQuarantine()
+{
+    using quarantine::part_change;
+    const std::vector<part_change> changes = mContext.quarantine.update(core::boot_clock::now());
+    if (changes.empty())
+        return;
+    const auto inMs = [](core::duration inDuration) {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(inDuration).count();
+    };
+    for (const part_change &change : changes) {
+        std::array<char, 17> digest{};
+        std::snprintf(digest.data(), digest.size(), "%016llx",
+                      static_cast<unsigned long long>(change.part));
+        core::logEvent(core::log_level::warning, "part_quarantine",
+                       {{"change", toString(change.what)},
+                        {"part", change.id},
+                        {"digest", digest.data()},
+                        {"round", change.round},
+                        {"endpoints_lost", change.losses},
+                        {"evidence_age_ms", inMs(change.evidenceAge)},
+                        {"hold_ms", inMs(change.hold)}});
+        mContext.metrics.count("part_quarantine_changes_total{change=\""
+                               + std::string(toString(change.what)) + "\"}");
+    }
+    mContext.metrics.setGauge("quarantined_parts",
+                              static_cast<double>(mContext.quarantine.quarantined()));
+    // partsQuarantined() may modify mCallers, so the requests are collected first.
+    std::vector<forwarded_request *> running;
+    for (auto &[id, entry] : mCallers) {
+        if (entry.request)
+            running.push_back(entry.request.get());
+    }
+    for (forwarded_request *request : running)
+        request->partsQuarantined();
 }
 
 void front_service::sendHeartbeatPart()
@@ -270,6 +321,8 @@
     }
     part.adapterUses = std::exchange(mContext.adapterUses, {});
     part.pauses = std::exchange(mContext.pauses, {});
+    updateQuarantine();
+    part.quarantine = mContext.quarantine.report();
     mContext.registry.post("orders",
                            orders::local_adapter_uses{part.adapterUses, part.adaptersRunning});
     mContext.registry.post("mesh", std::move(part));
--- a/corneltally/forwarding/front_service.h
+++ b/corneltally/forwarding/front_service.h
@@ -84,6 +84,8 @@
     void summaryReceived(const fleet::domain_summary &inSummary);
     void engineStateReceived(const std::string &inHolder, const fleet::engine_state &inState);
     void sendHeartbeatPart();
+    void quarantineReported(const quarantine::quarantine_state &inState);
+    void updateQuarantine();
     void destroyLater(std::unique_ptr<forwarded_request> inRequest,
                       std::unique_ptr<http1::server_connection> inConnection);
 
--- a/corneltally/http1/client_connection.cpp
+++ b/corneltally/http1/client_connection.cpp
@@ -156,7 +156,8 @@
         mServerIdleLimit = keepAliveTimeout(*value);
 }
 
-void client_connection::finish(exchange_end::kind inOutcome, std::string_view inReason)
+void client_connection::finish(exchange_end::kind inOutcome, std::string_view inReason,
+                               bool inConnectionLost)
 {
     mRunning = false;
     const bool wasSent = sent();
@@ -170,7 +171,7 @@
     // The forwarding code uses the reason as a label value of attempts_failed_total, so the texts
     // must stay as they are.
     if (handler)
-        handler({inOutcome, wasSent, inReason});
+        handler({inOutcome, wasSent, inReason, inConnectionLost});
 }
 
 void client_connection::streamEnded(stream_end inEnd)
@@ -194,7 +195,8 @@
         }
     }
     finish(exchange_end::kind::broken,
-           inEnd == stream_end::closed ? "the connection was closed" : "the connection failed");
+           inEnd == stream_end::closed ? "the connection was closed" : "the connection failed",
+           true);
 }
 
 } // namespace corneltally::http1
--- a/corneltally/http1/client_connection.h
+++ b/corneltally/http1/client_connection.h
@@ -30,6 +30,8 @@
     bool sent = false;
     /// Reason for the log and for labels of metrics.
     std::string_view reason;
+    /// Whether the exchange broke because the connection ended.
+    bool connectionLost = false;
 };
 
 /// Client side of an HTTP/1.1 connection. Carries one exchange at a time.
@@ -75,7 +77,8 @@
     void readInput();
     bool deliver(std::size_t inParsedBytes);
     bool skip(std::size_t inBytes);
-    void finish(exchange_end::kind inOutcome, std::string_view inReason);
+    void finish(exchange_end::kind inOutcome, std::string_view inReason,
+                bool inConnectionLost = false);
     void streamEnded(stream_end inEnd);
     void updateReuse(const response_head &inHead);
 
--- /dev/null
+++ b/corneltally/quarantine/part_quarantine.h
@@ -0,0 +1,173 @@
+#pragma once
+
+#include "corneltally/quarantine/part_change.h"
+#include "corneltally/quarantine/quarantine_state.h"
+#include "corneltally/quarantine/shared_part.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <unordered_set>
+#include <vector>
+
+namespace corneltally::quarantine {
+
+struct quarantine_options
+{
+    /// Number of lost endpoints after which a part is quarantined if none of its requests was
+    /// answered since the first.
+    int maxLosses = 3;
+    /// Losses closer together than this count once: they may have a common cause, such as the
+    /// failure of a whole domain.
+    core::duration lossSeparation = std::chrono::milliseconds(150);
+    /// Minimum time from the first of these losses to the quarantine. Answers that other
+    /// instances received are known within half of it.
+    core::duration settleTime = std::chrono::seconds(1);
+    /// Time from a quarantine to its first probe; it doubles with each failed one.
+    core::duration firstHold = std::chrono::seconds(60);
+    core::duration maxHold = std::chrono::hours(1);
+    /// Time to the first probe of a part if another part in quarantine may be the cause instead.
+    core::duration ambiguousHold = std::chrono::seconds(10);
+    /// A probe that has neither an answer nor a loss for this long is given up.
+    core::duration probeTimeout = std::chrono::seconds(30);
+    /// Losses, and quarantines after their hold, are forgotten after this time.
+    core::duration retention = std::chrono::minutes(10);
+    /// An answer is remembered for this long.
+    core::duration answerRetention = std::chrono::minutes(1);
+    /// Own observations are repeated to other instances for this long.
+    core::duration reportTime = std::chrono::seconds(2);
+    std::size_t maxCandidates = 4096;
+    std::size_t maxAnswers = 16384;
+    std::size_t maxQuarantined = 256;
+};
+
+/// Finds the prompt parts that crash each endpoint which begins to answer them, and quarantines
+/// them.
+///
+/// An endpoint that crashes loses all its requests, so each of their parts may be the cause. An
+/// answer to a request with a part shows that the part is harmless. The parts of which no request
+/// is answered while endpoint after endpoint is lost remain. Of these, the one with the most losses
+/// is quarantined, or the one that follows it in its prompts if that has been lost as often: it
+/// refuses fewer requests. Its losses are then explained and count against no other part; if it was
+/// not the cause, further losses follow and show the one that was. A loss does not count if the
+/// same start of the endpoint answers later: then only a connection broke.
+///
+/// Pure logic without clock or network. Instances exchange quarantine_state, so that each decides
+/// on what all of them observe.
+class part_quarantine
+{
+public:
+    enum class admission {
+        /// No part is in quarantine.
+        allowed,
+        /// The request tests a part whose hold is over; probeStarted() must follow if it is sent.
+        probe,
+        refused,
+    };
+
+    explicit part_quarantine(std::string inInstance, quarantine_options inOptions = {});
+
+    /// Sets the live instances, among which the one that probes a part is chosen.
+    void setLive(std::set<std::string> inLive) { mLive = std::move(inLive); }
+
+    /// Records that an endpoint closed the connection of a request.
+    void endpointLost(start_digest inStart, const std::vector<shared_part> &inParts,
+                      core::time_point inNow);
+
+    /// Records the complete answer to a request.
+    void answered(start_digest inStart, const std::vector<shared_part> &inParts,
+                  core::time_point inSentAt, core::time_point inNow);
+
+    /// Adds what another instance or failure domain reported.
+    void applyPeer(const quarantine_state &inState, core::time_point inNow);
+
+    admission admit(const std::vector<shared_part> &inParts, core::time_point inNow) const;
+    void probeStarted(const std::vector<shared_part> &inParts, core::time_point inNow);
+
+    /// Time until the parts may be free again; zero if none is in quarantine.
+    core::duration holdLeft(const std::vector<shared_part> &inParts, core::time_point inNow) const;
+
+    /// Decides on the evidence and drops old state. Returns the changes since the last call. Call
+    /// several times a second.
+    std::vector<part_change> update(core::time_point inNow);
+
+    /// Recent observations and all quarantines, for the other instances.
+    quarantine_state report() const;
+
+    std::size_t candidates() const { return mCandidates.size(); }
+    std::size_t quarantined() const;
+
+private:
+    struct loss
+    {
+        start_digest start = 0;
+        core::time_point at;
+    };
+    /// Losses since the last answer to a request with the part, in the order of their times.
+    struct candidate
+    {
+        std::string id;
+        part_digest parent = 0;
+        std::vector<loss> losses;
+    };
+    struct evidence
+    {
+        /// Losses that no part in quarantine explains, and how many of them are apart in time.
+        int losses = 0;
+        int separateLosses = 0;
+        core::time_point first;
+    };
+
+    candidate *addLoss(start_digest inStart, part_digest inPart, part_digest inParent,
+                       core::time_point inAt, core::time_point inNow);
+    void addAnswer(std::uint64_t inSubject, core::time_point inAt, core::time_point inNow);
+    bool isDisproved(std::uint64_t inSubject, core::time_point inAt, core::time_point inNow);
+    evidence weigh(const candidate &inCandidate) const;
+    const quarantined_part *findQuarantine(part_digest inPart) const;
+    bool isProber(part_digest inPart) const;
+    bool isAmbiguous(part_digest inPart) const;
+    bool mayProbe(part_digest inPart, const quarantined_part &inState,
+                  core::time_point inNow) const;
+    void decide(core::time_point inNow);
+    std::optional<part_digest> mostSuspect(core::time_point inNow) const;
+    part_digest deepestSuspect(part_digest inPart) const;
+    void findExplained();
+    void clearSubsumed(part_digest inPart, core::time_point inNow);
+    void quarantine(part_digest inPart, const evidence &inEvidence, core::time_point inNow);
+    void clear(part_digest inPart, core::time_point inNow);
+    void addChange(part_change::kind inKind, part_digest inPart, const evidence &inEvidence,
+                   core::time_point inNow);
+    void dropOld(core::time_point inNow);
+
+    std::string mInstance;
+    quarantine_options mOptions;
+    std::set<std::string> mLive;
+    std::unordered_map<part_digest, candidate> mCandidates;
+    /// Starts of endpoints that mCandidates refers to, with the time of the loss.
+    std::unordered_map<start_digest, core::time_point> mLostStarts;
+    /// Starts of endpoints whose loss a part in quarantine explains.
+    std::unordered_set<start_digest> mExplained;
+    std::unordered_map<std::uint64_t, core::time_point> mAnswers;
+    /// Answers that disproved losses, which are still reported to other instances.
+    struct disproof
+    {
+        core::time_point answeredAt;
+        core::time_point notedAt;
+    };
+    std::unordered_map<std::uint64_t, disproof> mDisproofs;
+    std::map<part_digest, quarantined_part> mParts;
+    /// Running probes, with the times of their starts.
+    std::unordered_map<part_digest, core::time_point> mProbes;
+    /// Parts whose probes lost an endpoint since the last update.
+    std::set<part_digest> mFailedProbes;
+    /// Own observations that are still reported.
+    std::map<start_digest, endpoint_loss> mOwnLosses;
+    std::vector<part_change> mChanges;
+};
+
+} // namespace corneltally::quarantine
--- a/schemas/fleet_generated.h
+++ b/schemas/fleet_generated.h
@@ -28,6 +28,20 @@
 
 struct AnswerPause;
 
+struct LostPart;
+
+struct EndpointLoss;
+struct EndpointLossBuilder;
+struct EndpointLossT;
+
+struct LastAnswer;
+
+struct QuarantinedPart;
+
+struct QuarantineState;
+struct QuarantineStateBuilder;
+struct QuarantineStateT;
+
 struct Heartbeat;
 struct HeartbeatBuilder;
 struct HeartbeatT;
@@ -489,6 +503,117 @@
   using type = AnswerPause;
 };
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) LostPart FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t part_;
+  uint64_t parent_;
+
+ public:
+  struct Traits;
+  LostPart()
+      : part_(0),
+        parent_(0) {
+  }
+  LostPart(uint64_t _part, uint64_t _parent)
+      : part_(flatbuffers::EndianScalar(_part)),
+        parent_(flatbuffers::EndianScalar(_parent)) {
+  }
+  uint64_t part() const {
+    return flatbuffers::EndianScalar(part_);
+  }
+  uint64_t parent() const {
+    return flatbuffers::EndianScalar(parent_);
+  }
+};
+FLATBUFFERS_STRUCT_END(LostPart, 16);
+
+struct LostPart::Traits {
+  using type = LostPart;
+};
+
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) LastAnswer FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t subject_;
+  int64_t at_us_;
+
+ public:
+  struct Traits;
+  LastAnswer()
+      : subject_(0),
+        at_us_(0) {
+  }
+  LastAnswer(uint64_t _subject, int64_t _at_us)
+      : subject_(flatbuffers::EndianScalar(_subject)),
+        at_us_(flatbuffers::EndianScalar(_at_us)) {
+  }
+  uint64_t subject() const {
+    return flatbuffers::EndianScalar(subject_);
+  }
+  int64_t at_us() const {
+    return flatbuffers::EndianScalar(at_us_);
+  }
+};
+FLATBUFFERS_STRUCT_END(LastAnswer, 16);
+
+struct LastAnswer::Traits {
+  using type = LastAnswer;
+};
+
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) QuarantinedPart FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t part_;
+  int64_t since_us_;
+  int64_t until_us_;
+  uint32_t round_;
+  uint8_t cleared_;
+  int8_t padding0__;  int16_t padding1__;
+
+ public:
+  struct Traits;
+  QuarantinedPart()
+      : part_(0),
+        since_us_(0),
+        until_us_(0),
+        round_(0),
+        cleared_(0),
+        padding0__(0),
+        padding1__(0) {
+    (void)padding0__;
+    (void)padding1__;
+  }
+  QuarantinedPart(uint64_t _part, int64_t _since_us, int64_t _until_us, uint32_t _round, bool _cleared)
+      : part_(flatbuffers::EndianScalar(_part)),
+        since_us_(flatbuffers::EndianScalar(_since_us)),
+        until_us_(flatbuffers::EndianScalar(_until_us)),
+        round_(flatbuffers::EndianScalar(_round)),
+        cleared_(flatbuffers::EndianScalar(static_cast<uint8_t>(_cleared))),
+        padding0__(0),
+        padding1__(0) {
+    (void)padding0__;
+    (void)padding1__;
+  }
+  uint64_t part() const {
+    return flatbuffers::EndianScalar(part_);
+  }
+  int64_t since_us() const {
+    return flatbuffers::EndianScalar(since_us_);
+  }
+  int64_t until_us() const {
+    return flatbuffers::EndianScalar(until_us_);
+  }
+  uint32_t round() const {
+    return flatbuffers::EndianScalar(round_);
+  }
+  bool cleared() const {
+    return flatbuffers::EndianScalar(cleared_) != 0;
+  }
+};
+FLATBUFFERS_STRUCT_END(QuarantinedPart, 32);
+
+struct QuarantinedPart::Traits {
+  using type = QuarantinedPart;
+};
+
 FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) InstanceTotal FLATBUFFERS_FINAL_CLASS {
  private:
   double amount_;
@@ -766,6 +891,203 @@
 
 flatbuffers::Offset<AccountUse> CreateAccountUse(flatbuffers::FlatBufferBuilder &_fbb, const AccountUseT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct EndpointLossT : public flatbuffers::NativeTable {
+  typedef EndpointLoss TableType;
+  uint64_t start = 0;
+  int64_t at_us = 0;
+  std::vector<corneltally::fleet_wire::LostPart> parts{};
+};
+
+struct EndpointLoss FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef EndpointLossT NativeTableType;
+  typedef EndpointLossBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_START = 4,
+    VT_AT_US = 6,
+    VT_PARTS = 8
+  };
+  uint64_t start() const {
+    return GetField<uint64_t>(VT_START, 0);
+  }
+  int64_t at_us() const {
+    return GetField<int64_t>(VT_AT_US, 0);
+  }
+  const flatbuffers::Vector<const corneltally::fleet_wire::LostPart *> *parts() const {
+    return GetPointer<const flatbuffers::Vector<const corneltally::fleet_wire::LostPart *> *>(VT_PARTS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_START, 8) &&
+           VerifyField<int64_t>(verifier, VT_AT_US, 8) &&
+           VerifyOffset(verifier, VT_PARTS) &&
+           verifier.VerifyVector(parts()) &&
+           verifier.EndTable();
+  }
+  EndpointLossT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(EndpointLossT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<EndpointLoss> Pack(flatbuffers::FlatBufferBuilder &_fbb, const EndpointLossT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct EndpointLossBuilder {
+  typedef EndpointLoss Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_start(uint64_t start) {
+    fbb_.AddElement<uint64_t>(EndpointLoss::VT_START, start, 0);
+  }
+  void add_at_us(int64_t at_us) {
+    fbb_.AddElement<int64_t>(EndpointLoss::VT_AT_US, at_us, 0);
+  }
+  void add_parts(flatbuffers::Offset<flatbuffers::Vector<const corneltally::fleet_wire::LostPart *>> parts) {
+    fbb_.AddOffset(EndpointLoss::VT_PARTS, parts);
+  }
+  explicit EndpointLossBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<EndpointLoss> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<EndpointLoss>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<EndpointLoss> CreateEndpointLoss(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t start = 0,
+    int64_t at_us = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const corneltally::fleet_wire::LostPart *>> parts = 0) {
+  EndpointLossBuilder builder_(_fbb);
+  builder_.add_at_us(at_us);
+  builder_.add_start(start);
+  builder_.add_parts(parts);
+  return builder_.Finish();
+}
+
+struct EndpointLoss::Traits {
+  using type = EndpointLoss;
+  static auto constexpr Create = CreateEndpointLoss;
+};
+
+inline flatbuffers::Offset<EndpointLoss> CreateEndpointLossDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t start = 0,
+    int64_t at_us = 0,
+    const std::vector<corneltally::fleet_wire::LostPart> *parts = nullptr) {
+  auto parts__ = parts ? _fbb.CreateVectorOfStructs<corneltally::fleet_wire::LostPart>(*parts) : 0;
+  return corneltally::fleet_wire::CreateEndpointLoss(
+      _fbb,
+      start,
+      at_us,
+      parts__);
+}
+
+flatbuffers::Offset<EndpointLoss> CreateEndpointLoss(flatbuffers::FlatBufferBuilder &_fbb, const EndpointLossT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct QuarantineStateT : public flatbuffers::NativeTable {
+  typedef QuarantineState TableType;
+  std::vector<std::unique_ptr<corneltally::fleet_wire::EndpointLossT>> losses{};
+  std::vector<corneltally::fleet_wire::LastAnswer> answers{};
+  std::vector<corneltally::fleet_wire::QuarantinedPart> parts{};
+  QuarantineStateT() = default;
+  QuarantineStateT(const QuarantineStateT &o);
+  QuarantineStateT(QuarantineStateT&&) FLATBUFFERS_NOEXCEPT = default;
+  QuarantineStateT &operator=(QuarantineStateT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct QuarantineState FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef QuarantineStateT NativeTableType;
+  typedef QuarantineStateBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_LOSSES = 4,
+    VT_ANSWERS = 6,
+    VT_PARTS = 8
+  };
+  const flatbuffers::Vector<flatbuffers::Offset<corneltally::fleet_wire::EndpointLoss>> *losses() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<corneltally::fleet_wire::EndpointLoss>> *>(VT_LOSSES);
+  }
+  const flatbuffers::Vector<const corneltally::fleet_wire::LastAnswer *> *answers() const {
+    return GetPointer<const flatbuffers::Vector<const corneltally::fleet_wire::LastAnswer *> *>(VT_ANSWERS);
+  }
+  const flatbuffers::Vector<const corneltally::fleet_wire::QuarantinedPart *> *parts() const {
+    return GetPointer<const flatbuffers::Vector<const corneltally::fleet_wire::QuarantinedPart *> *>(VT_PARTS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_LOSSES) &&
+           verifier.VerifyVector(losses()) &&
+           verifier.VerifyVectorOfTables(losses()) &&
+           VerifyOffset(verifier, VT_ANSWERS) &&
+           verifier.VerifyVector(answers()) &&
+           VerifyOffset(verifier, VT_PARTS) &&
+           verifier.VerifyVector(parts()) &&
+           verifier.EndTable();
+  }
+  QuarantineStateT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(QuarantineStateT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<QuarantineState> Pack(flatbuffers::FlatBufferBuilder &_fbb, const QuarantineStateT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct QuarantineStateBuilder {
+  typedef QuarantineState Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_losses(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<corneltally::fleet_wire::EndpointLoss>>> losses) {
+    fbb_.AddOffset(QuarantineState::VT_LOSSES, losses);
+  }
+  void add_answers(flatbuffers::Offset<flatbuffers::Vector<const corneltally::fleet_wire::LastAnswer *>> answers) {
+    fbb_.AddOffset(QuarantineState::VT_ANSWERS, answers);
+  }
+  void add_parts(flatbuffers::Offset<flatbuffers::Vector<const corneltally::fleet_wire::QuarantinedPart *>> parts) {
+    fbb_.AddOffset(QuarantineState::VT_PARTS, parts);
+  }
+  explicit QuarantineStateBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<QuarantineState> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<QuarantineState>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<QuarantineState> CreateQuarantineState(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<corneltally::fleet_wire::EndpointLoss>>> losses = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const corneltally::fleet_wire::LastAnswer *>> answers = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const corneltally::fleet_wire::QuarantinedPart *>> parts = 0) {
+  QuarantineStateBuilder builder_(_fbb);
+  builder_.add_parts(parts);
+  builder_.add_answers(answers);
+  builder_.add_losses(losses);
+  return builder_.Finish();
+}
+
+struct QuarantineState::Traits {
+  using type = QuarantineState;
+  static auto constexpr Create = CreateQuarantineState;
+};
+
+inline flatbuffers::Offset<QuarantineState> CreateQuarantineStateDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const std::vector<flatbuffers::Offset<corneltally::fleet_wire::EndpointLoss>> *losses = nullptr,
+    const std::vector<corneltally::fleet_wire::LastAnswer> *answers = nullptr,
+    const std::vector<corneltally::fleet_wire::QuarantinedPart> *parts = nullptr) {
+  auto losses__ = losses ? _fbb.CreateVector<flatbuffers::Offset<corneltally::fleet_wire::EndpointLoss>>(*losses) : 0;
+  auto answers__ = answers ? _fbb.CreateVectorOfStructs<corneltally::fleet_wire::LastAnswer>(*answers) : 0;
+  auto parts__ = parts ? _fbb.CreateVectorOfStructs<corneltally::fleet_wire::QuarantinedPart>(*parts) : 0;
+  return corneltally::fleet_wire::CreateQuarantineState(
+      _fbb,
+      losses__,
+      answers__,
+      parts__);
+}
+
+flatbuffers::Offset<QuarantineState> CreateQuarantineState(flatbuffers::FlatBufferBuilder &_fbb, const QuarantineStateT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct HeartbeatT : public flatbuffers::NativeTable {
   typedef Heartbeat TableType;
   uint64_t operator_end = 0;
@@ -778,6 +1100,7 @@
   std::vector<corneltally::fleet_wire::AnswerPause> pauses{};
   int64_t sent_at_us = 0;
   bool store_failing = false;
+  std::unique_ptr<corneltally::fleet_wire::QuarantineStateT> quarantine{};
   HeartbeatT() = default;
   HeartbeatT(const HeartbeatT &o);
   HeartbeatT(HeartbeatT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -798,7 +1121,8 @@
     VT_ADAPTERS_RUNNING = 16,
     VT_PAUSES = 18,
     VT_SENT_AT_US = 20,
-    VT_STORE_FAILING = 22
+    VT_STORE_FAILING = 22,
+    VT_QUARANTINE = 24
   };
   uint64_t operator_end() const {
     return GetField<uint64_t>(VT_OPERATOR_END, 0);
@@ -830,6 +1154,9 @@
   bool store_failing() const {
     return GetField<uint8_t>(VT_STORE_FAILING, 0) != 0;
   }
+  const corneltally::fleet_wire::QuarantineState *quarantine() const {
+    return GetPointer<const corneltally::fleet_wire::QuarantineState *>(VT_QUARANTINE);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_OPERATOR_END, 8) &&
@@ -848,6 +1175,8 @@
            verifier.VerifyVector(pauses()) &&
            VerifyField<int64_t>(verifier, VT_SENT_AT_US, 8) &&
            VerifyField<uint8_t>(verifier, VT_STORE_FAILING, 1) &&
+           VerifyOffset(verifier, VT_QUARANTINE) &&
+           verifier.VerifyTable(quarantine()) &&
            verifier.EndTable();
   }
   HeartbeatT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -889,6 +1218,9 @@
   void add_store_failing(bool store_failing) {
     fbb_.AddElement<uint8_t>(Heartbeat::VT_STORE_FAILING, static_cast<uint8_t>(store_failing), 0);
   }
+  void add_quarantine(flatbuffers::Offset<corneltally::fleet_wire::QuarantineState> quarantine) {
+    fbb_.AddOffset(Heartbeat::VT_QUARANTINE, quarantine);
+  }
   explicit HeartbeatBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -911,10 +1243,12 @@
     flatbuffers::Offset<flatbuffers::Vector<uint64_t>> adapters_running = 0,
     flatbuffers::Offset<flatbuffers::Vector<const corneltally::fleet_wire::AnswerPause *>> pauses = 0,
     int64_t sent_at_us = 0,
-    bool store_failing = false) {
+    bool store_failing = false,
+    flatbuffers::Offset<corneltally::fleet_wire::QuarantineState> quarantine = 0) {
   HeartbeatBuilder builder_(_fbb);
   builder_.add_sent_at_us(sent_at_us);
   builder_.add_operator_end(operator_end);
+  builder_.add_quarantine(quarantine);
   builder_.add_pauses(pauses);
   builder_.add_adapters_running(adapters_running);
   builder_.add_adapter_uses(adapter_uses);
@@ -942,7 +1276,8 @@
     const std::vector<uint64_t> *adapters_running = nullptr,
     const std::vector<corneltally::fleet_wire::AnswerPause> *pauses = nullptr,
     int64_t sent_at_us = 0,
-    bool store_failing = false) {
+    bool store_failing = false,
+    flatbuffers::Offset<corneltally::fleet_wire::QuarantineState> quarantine = 0) {
   auto account_uses__ = account_uses ? _fbb.CreateVector<flatbuffers::Offset<corneltally::fleet_wire::AccountUse>>(*account_uses) : 0;
   auto loads__ = loads ? _fbb.CreateVectorOfStructs<corneltally::fleet_wire::EndpointLoad>(*loads) : 0;
   auto adapter_uses__ = adapter_uses ? _fbb.CreateVector<uint64_t>(*adapter_uses) : 0;
@@ -959,7 +1294,8 @@
       adapters_running__,
       pauses__,
       sent_at_us,
-      store_failing);
+      store_failing,
+      quarantine);
 }
 
 flatbuffers::Offset<Heartbeat> CreateHeartbeat(flatbuffers::FlatBufferBuilder &_fbb, const HeartbeatT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1828,6 +2164,7 @@
   std::vector<uint64_t> adapters_running{};
   std::vector<corneltally::fleet_wire::AnswerPause> pauses{};
   std::vector<std::unique_ptr<corneltally::fleet_wire::EngineStateT>> engine_states{};
+  std::unique_ptr<corneltally::fleet_wire::QuarantineStateT> quarantine{};
   DomainSummaryT() = default;
   DomainSummaryT(const DomainSummaryT &o);
   DomainSummaryT(DomainSummaryT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1853,7 +2190,8 @@
     VT_ADAPTER_USES = 26,
     VT_ADAPTERS_RUNNING = 28,
     VT_PAUSES = 30,
-    VT_ENGINE_STATES = 32
+    VT_ENGINE_STATES = 32,
+    VT_QUARANTINE = 34
   };
   const flatbuffers::String *domain() const {
     return GetPointer<const flatbuffers::String *>(VT_DOMAIN);
@@ -1900,6 +2238,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<corneltally::fleet_wire::EngineState>> *engine_states() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<corneltally::fleet_wire::EngineState>> *>(VT_ENGINE_STATES);
   }
+  const corneltally::fleet_wire::QuarantineState *quarantine() const {
+    return GetPointer<const corneltally::fleet_wire::QuarantineState *>(VT_QUARANTINE);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_DOMAIN) &&
@@ -1932,6 +2273,8 @@
            VerifyOffset(verifier, VT_ENGINE_STATES) &&
            verifier.VerifyVector(engine_states()) &&
            verifier.VerifyVectorOfTables(engine_states()) &&
+           VerifyOffset(verifier, VT_QUARANTINE) &&
+           verifier.VerifyTable(quarantine()) &&
            verifier.EndTable();
   }
   DomainSummaryT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1988,6 +2331,9 @@
   void add_engine_states(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<corneltally::fleet_wire::EngineState>>> engine_states) {
     fbb_.AddOffset(DomainSummary::VT_ENGINE_STATES, engine_states);
   }
+  void add_quarantine(flatbuffers::Offset<corneltally::fleet_wire::QuarantineState> quarantine) {
+    fbb_.AddOffset(DomainSummary::VT_QUARANTINE, quarantine);
+  }
   explicit DomainSummaryBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2017,11 +2363,13 @@
     flatbuffers::Offset<flatbuffers::Vector<uint64_t>> adapter_uses = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint64_t>> adapters_running = 0,
     flatbuffers::Offset<flatbuffers::Vector<const corneltally::fleet_wire::AnswerPause *>> pauses = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<corneltally::fleet_wire::EngineState>>> engine_states = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<corneltally::fleet_wire::EngineState>>> engine_states = 0,
+    flatbuffers::Offset<corneltally::fleet_wire::QuarantineState> quarantine = 0) {
   DomainSummaryBuilder builder_(_fbb);
   builder_.add_operator_end(operator_end);
   builder_.add_sequence(sequence);
   builder_.add_incarnation(incarnation);
+  builder_.add_quarantine(quarantine);
   builder_.add_engine_states(engine_states);
   builder_.add_pauses(pauses);
   builder_.add_adapters_running(adapters_running);
@@ -2058,7 +2406,8 @@
     const std::vector<uint64_t> *adapter_uses = nullptr,
     const std::vector<uint64_t> *adapters_running = nullptr,
     const std::vector<corneltally::fleet_wire::AnswerPause> *pauses = nullptr,
-    const std::vector<flatbuffers::Offset<corneltally::fleet_wire::EngineState>> *engine_states = nullptr) {
+    const std::vector<flatbuffers::Offset<corneltally::fleet_wire::EngineState>> *engine_states = nullptr,
+    flatbuffers::Offset<corneltally::fleet_wire::QuarantineState> quarantine = 0) {
   auto domain__ = domain ? _fbb.CreateString(domain) : 0;
   auto sender__ = sender ? _fbb.CreateString(sender) : 0;
   auto heard_domains__ = heard_domains ? _fbb.CreateVector<flatbuffers::Offset<corneltally::fleet_wire::HeardDomain>>(*heard_domains) : 0;
@@ -2086,7 +2435,8 @@
       adapter_uses__,
       adapters_running__,
       pauses__,
-      engine_states__);
+      engine_states__,
+      quarantine);
 }
 
 flatbuffers::Offset<DomainSummary> CreateDomainSummary(flatbuffers::FlatBufferBuilder &_fbb, const DomainSummaryT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -2888,6 +3238,84 @@
       _amount);
 }
 
+inline EndpointLossT *EndpointLoss::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<EndpointLossT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void EndpointLoss::UnPackTo(EndpointLossT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = start(); _o->start = _e; }
+  { auto _e = at_us(); _o->at_us = _e; }
+  { auto _e = parts(); if (_e) { _o->parts.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->parts[_i] = *_e->Get(_i); } } }
+}
+
+inline flatbuffers::Offset<EndpointLoss> EndpointLoss::Pack(flatbuffers::FlatBufferBuilder &_fbb, const EndpointLossT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateEndpointLoss(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<EndpointLoss> CreateEndpointLoss(flatbuffers::FlatBufferBuilder &_fbb, const EndpointLossT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const EndpointLossT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _start = _o->start;
+  auto _at_us = _o->at_us;
+  auto _parts = _o->parts.size() ? _fbb.CreateVectorOfStructs(_o->parts) : 0;
+  return corneltally::fleet_wire::CreateEndpointLoss(
+      _fbb,
+      _start,
+      _at_us,
+      _parts);
+}
+
+inline QuarantineStateT::QuarantineStateT(const QuarantineStateT &o)
+      : answers(o.answers),
+        parts(o.parts) {
+  losses.reserve(o.losses.size());
+  for (const auto &losses_ : o.losses) { losses.emplace_back((losses_) ? new corneltally::fleet_wire::EndpointLossT(*losses_) : nullptr); }
+}
+
+inline QuarantineStateT &QuarantineStateT::operator=(QuarantineStateT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(losses, o.losses);
+  std::swap(answers, o.answers);
+  std::swap(parts, o.parts);
+  return *this;
+}
+
+inline QuarantineStateT *QuarantineState::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<QuarantineStateT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void QuarantineState::UnPackTo(QuarantineStateT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = losses(); if (_e) { _o->losses.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->losses[_i] = std::unique_ptr<corneltally::fleet_wire::EndpointLossT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = answers(); if (_e) { _o->answers.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->answers[_i] = *_e->Get(_i); } } }
+  { auto _e = parts(); if (_e) { _o->parts.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->parts[_i] = *_e->Get(_i); } } }
+}
+
+inline flatbuffers::Offset<QuarantineState> QuarantineState::Pack(flatbuffers::FlatBufferBuilder &_fbb, const QuarantineStateT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateQuarantineState(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<QuarantineState> CreateQuarantineState(flatbuffers::FlatBufferBuilder &_fbb, const QuarantineStateT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const QuarantineStateT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _losses = _o->losses.size() ? _fbb.CreateVector<flatbuffers::Offset<corneltally::fleet_wire::EndpointLoss>> (_o->losses.size(), [](size_t i, _VectorArgs *__va) { return CreateEndpointLoss(*__va->__fbb, __va->__o->losses[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _answers = _o->answers.size() ? _fbb.CreateVectorOfStructs(_o->answers) : 0;
+  auto _parts = _o->parts.size() ? _fbb.CreateVectorOfStructs(_o->parts) : 0;
+  return corneltally::fleet_wire::CreateQuarantineState(
+      _fbb,
+      _losses,
+      _answers,
+      _parts);
+}
+
 inline HeartbeatT::HeartbeatT(const HeartbeatT &o)
       : operator_end(o.operator_end),
         draining(o.draining),
@@ -2897,7 +3325,8 @@
         adapters_running(o.adapters_running),
         pauses(o.pauses),
         sent_at_us(o.sent_at_us),
-        store_failing(o.store_failing) {
+        store_failing(o.store_failing),
+        quarantine((o.quarantine) ? new corneltally::fleet_wire::QuarantineStateT(*o.quarantine) : nullptr) {
   account_uses.reserve(o.account_uses.size());
   for (const auto &account_uses_ : o.account_uses) { account_uses.emplace_back((account_uses_) ? new corneltally::fleet_wire::AccountUseT(*account_uses_) : nullptr); }
 }
@@ -2913,6 +3342,7 @@
   std::swap(pauses, o.pauses);
   std::swap(sent_at_us, o.sent_at_us);
   std::swap(store_failing, o.store_failing);
+  std::swap(quarantine, o.quarantine);
   return *this;
 }
 
@@ -2935,6 +3365,7 @@
   { auto _e = pauses(); if (_e) { _o->pauses.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->pauses[_i] = *_e->Get(_i); } } }
   { auto _e = sent_at_us(); _o->sent_at_us = _e; }
   { auto _e = store_failing(); _o->store_failing = _e; }
+  { auto _e = quarantine(); if (_e) _o->quarantine = std::unique_ptr<corneltally::fleet_wire::QuarantineStateT>(_e->UnPack(_resolver)); }
 }
 
 inline flatbuffers::Offset<Heartbeat> Heartbeat::Pack(flatbuffers::FlatBufferBuilder &_fbb, const HeartbeatT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -2955,6 +3386,7 @@
   auto _pauses = _o->pauses.size() ? _fbb.CreateVectorOfStructs(_o->pauses) : 0;
   auto _sent_at_us = _o->sent_at_us;
   auto _store_failing = _o->store_failing;
+  auto _quarantine = _o->quarantine ? CreateQuarantineState(_fbb, _o->quarantine.get(), _rehasher) : 0;
   return corneltally::fleet_wire::CreateHeartbeat(
       _fbb,
       _operator_end,
@@ -2966,7 +3398,8 @@
       _adapters_running,
       _pauses,
       _sent_at_us,
-      _store_failing);
+      _store_failing,
+      _quarantine);
 }
 
 inline LoadWantedT *LoadWanted::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -3263,7 +3696,8 @@
         loads(o.loads),
         adapter_uses(o.adapter_uses),
         adapters_running(o.adapters_running),
-        pauses(o.pauses) {
+        pauses(o.pauses),
+        quarantine((o.quarantine) ? new corneltally::fleet_wire::QuarantineStateT(*o.quarantine) : nullptr) {
   heard_domains.reserve(o.heard_domains.size());
   for (const auto &heard_domains_ : o.heard_domains) { heard_domains.emplace_back((heard_domains_) ? new corneltally::fleet_wire::HeardDomainT(*heard_domains_) : nullptr); }
   instances.reserve(o.instances.size());
@@ -3288,6 +3722,7 @@
   std::swap(adapters_running, o.adapters_running);
   std::swap(pauses, o.pauses);
   std::swap(engine_states, o.engine_states);
+  std::swap(quarantine, o.quarantine);
   return *this;
 }
 
@@ -3315,6 +3750,7 @@
   { auto _e = adapters_running(); if (_e) { _o->adapters_running.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->adapters_running[_i] = _e->Get(_i); } } }
   { auto _e = pauses(); if (_e) { _o->pauses.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->pauses[_i] = *_e->Get(_i); } } }
   { auto _e = engine_states(); if (_e) { _o->engine_states.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->engine_states[_i] = std::unique_ptr<corneltally::fleet_wire::EngineStateT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = quarantine(); if (_e) _o->quarantine = std::unique_ptr<corneltally::fleet_wire::QuarantineStateT>(_e->UnPack(_resolver)); }
 }
 
 inline flatbuffers::Offset<DomainSummary> DomainSummary::Pack(flatbuffers::FlatBufferBuilder &_fbb, const DomainSummaryT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -3340,6 +3776,7 @@
   auto _adapters_running = _o->adapters_running.size() ? _fbb.CreateVector(_o->adapters_running) : 0;
   auto _pauses = _o->pauses.size() ? _fbb.CreateVectorOfStructs(_o->pauses) : 0;
   auto _engine_states = _o->engine_states.size() ? _fbb.CreateVector<flatbuffers::Offset<corneltally::fleet_wire::EngineState>> (_o->engine_states.size(), [](size_t i, _VectorArgs *__va) { return CreateEngineState(*__va->__fbb, __va->__o->engine_states[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _quarantine = _o->quarantine ? CreateQuarantineState(_fbb, _o->quarantine.get(), _rehasher) : 0;
   return corneltally::fleet_wire::CreateDomainSummary(
       _fbb,
       _domain,
@@ -3356,7 +3793,8 @@
       _adapter_uses,
       _adapters_running,
       _pauses,
-      _engine_states);
+      _engine_states,
+      _quarantine);
 }
 
 inline OperatorRecordT *OperatorRecord::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/tests/unit/fleet_codec_test.cpp
+++ b/tests/unit/fleet_codec_test.cpp
@@ -12,6 +12,11 @@
 
 const core::time_point cNow{1h};
 
+const quarantine::quarantine_state cQuarantine{
+    .losses = {{5, {cNow - 300ms, {{1, 0}, {2, 1}}}}},
+    .answers = {{1, cNow - 100ms}, {5, cNow - 2s}},
+    .parts = {{2, {.round = 2, .cleared = true, .since = cNow - 4s, .until = cNow + 56s}}}};
+
 void checkRoundTrip(const fleet::message &inMessage)
 {
     const auto decoded = fleet::decode(fleet::encode(inMessage, cNow), cNow);
@@ -33,7 +38,8 @@
                                     .adaptersRunning = {engines::digestOf("e1", "base/a2")},
                                     .pauses = {{engines::digestOf("e1"), 420ms}},
                                     .sentAt = cNow - 3s,
-                                    .storeFailing = true});
+                                    .storeFailing = true,
+                                    .quarantine = cQuarantine});
     checkRoundTrip(fleet::operator_end{12});
     checkRoundTrip(fleet::fleet_records{
         {{"engine/e1", "{}", 4}, {"instance/a", std::nullopt, 6}}, 3, 7, true, cNow - 1s, 8});
@@ -51,7 +57,8 @@
         .adapterUses = {engines::digestOf("e1", "base/a1")},
         .adaptersRunning = {engines::digestOf("e1", "base/a2")},
         .pauses = {{engines::digestOf("e1"), 420ms}},
-        .engines = {{"b", {"e1", 5, true, {{{"base/a1", 1}}, {{"base/a2", {3, cNow + 250ms}}}}}}}});
+        .engines = {{"b", {"e1", 5, true, {{{"base/a1", 1}}, {{"base/a2", {3, cNow + 250ms}}}}}}},
+        .quarantine = cQuarantine});
     checkRoundTrip(fleet::load_wanted{"e1", 5, "base", "a1", 2, 900});
     checkRoundTrip(fleet::adapter_missing{"e1", 5, "base/a1"});
     checkRoundTrip(fleet::adapter_running{"e1", 5, "base/a1", true});
--- a/tests/unit/forwarding_crashing_part_test.cpp
+++ b/tests/unit/forwarding_crashing_part_test.cpp
@@ -62,8 +62,7 @@
 
 // Failure: requests with a part under which endpoints end were sent, and repeated, to one endpoint
 // after another.
-TEST_CASE("requests with a part that ends endpoints do not reach more than a few of them",
-          "[.known-red]")
+TEST_CASE("requests with a part that ends endpoints do not reach more than a few of them")
 {
     constexpr int cRounds = 10;
     crashing_engines engines;
--- a/tests/unit/forwarding_front_fixture.h
+++ b/tests/unit/forwarding_front_fixture.h
@@ -121,6 +121,7 @@
                                   .listen = {"127.0.0.1", 0},
                                   .retries = {.ratio = 0.2, .slack = 100}}))};
     kernel::timer limit{loop, [this] { loop.stop(); }};
+    kernel::timer heartbeats{loop, [this] { registry.broadcast(fleet::heartbeat_due{}); }};
     std::map<std::string, fleet::load_wanted> wanted;
     http1::caller_limits callerLimits;
 
@@ -133,6 +134,7 @@
                 engineState({{}, {{"base/a1", {0, core::boot_clock::now() + 50ms}}}});
             });
         front.start();
+        heartbeats.startRepeating(200ms);
         limit.startOnce(20s);
     }
 
