Take a stream that ends inside an event as broken off

What callers saw: a stream without length or chunks that its endpoint broke off inside an event was passed on as complete, with half an event at its end, and a resumable one was not resumed.

Cause: the end of the connection completes such a body, and only the framing decided whether an answer was complete.

--- a/corneltally/forwarding/forwarded_request.cpp
+++ b/corneltally/forwarding/forwarded_request.cpp
@@ -408,8 +408,12 @@
     }
     mContext.pool.give(std::move(mUpstream));
     const bool encoded = http1::findField(mHead.fields, "Content-Encoding").has_value();
+    const bool endsInsideEvent
+        = !mBuffersAnswer && mSplitter.remainder().find_first_not_of("\r\n") != std::string::npos;
     if (mAnswer.notExecuted)
         attemptEnded(attempt_result::refused, mAnswer.misdirected ? "misdirected" : "shed");
+    else if (endsInsideEvent)
+        streamEndedInsideEvent();
     else if (mAnswer.status / 100 == 2 && mAnswer.sealed && !encoded)
         answerComplete();
     else if (mAnswer.status / 100 == 2 || !mAnswer.sealed)
@@ -431,6 +435,12 @@
                                          mSharedParts, now);
 }
 
+void forwarded_request::streamEndedInsideEvent()
+{
+    endpointLost();
+    attemptEnded(attempt_result::broken, "the stream ended inside an event");
+}
+
 void forwarded_request::attemptEnded(attempt_result inResult, std::string_view inReason)
 {
     const core::time_point now = core::boot_clock::now();
--- a/corneltally/forwarding/forwarded_request.h
+++ b/corneltally/forwarding/forwarded_request.h
@@ -71,6 +71,7 @@
     void exchangeEnded(const http1::exchange_end &inEnd);
     void partsProved();
     void endpointLost();
+    void streamEndedInsideEvent();
     engines::endpoint *currentTarget();
     void answerComplete();
     bool forwardEvents(std::string_view inData);
--- a/tests/unit/forwarding_front_test.cpp
+++ b/tests/unit/forwarding_front_test.cpp
@@ -255,6 +255,37 @@
     CHECK(fixture.call().end.outcome == kind::complete);
 }
 
+// Failure: a stream without length that its endpoint broke off looks complete to the caller.
+TEST_CASE("a stream that ends with its connection is complete only after a whole event")
+{
+    const std::string head = "HTTP/1.1 200 OK\r\n" + std::string(platform::cSealField)
+        + ": s1\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n";
+    front_fixture fixture;
+    fixture.configure(repetition::once_stream, 1);
+    fixture.first.script
+        = {{head + "id: 1\ndata: a\n\n", true}, {head + "id: 1\ndata: a\n\nid: 2\nda", true}};
+    const caller_view whole = fixture.call();
+    CHECK(whole.end.outcome == kind::complete);
+    CHECK(whole.body == "id: 1\ndata: a\n\n");
+    const caller_view cut = fixture.call();
+    CHECK(cut.end.outcome == kind::broken);
+    CHECK(cut.body == "id: 1\ndata: a\n\n");
+}
+
+// Failure: the rest of a stream that broke off inside an event is lost, or joined to half an event.
+TEST_CASE("a resumable stream that ends inside an event continues at another endpoint")
+{
+    const std::string head = "HTTP/1.1 200 OK\r\n" + std::string(platform::cSealField)
+        + ": s1\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n";
+    front_fixture fixture;
+    fixture.configure(repetition::resumable_stream, 2);
+    fixture.first.script = {{head + "id: 1\ndata: a\n\nid: 2\nda", true}};
+    fixture.second.script = {{head + "id: 2\ndata: b\n\n", true}};
+    const caller_view view = fixture.call();
+    CHECK(view.end.outcome == kind::complete);
+    CHECK(view.body == "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+}
+
 TEST_CASE("a resumable stream continues at another endpoint after the last complete event")
 {
     front_fixture fixture;
