Bound numbers and names that other programs write

Reported by operators of similar systems: one odd entry among those of the engines ended the machines that read the list. Could it happen here? Deep nesting could not (the parser does not recurse). A number out of range was cast to an integer type, which is undefined and differs between x86-64 and arm64; port 0 was used; a record of another type in the store's list threw and would have ended the process; one whose inner length is wrong stopped the reader at its offset. Looked for elsewhere: an adapter name that is no UTF-8, which a caller may send, threw in the order for it; 'nan' or a negative number in a caller's token count made its account's level no number, or added to it.

All JSON members are now read by core/json_fields, one copy, and bounded.

--- a/corneltally/claims/claim_record.cpp
+++ b/corneltally/claims/claim_record.cpp
@@ -1,5 +1,7 @@
 #include "corneltally/claims/claim_record.h"
 
+#include "corneltally/core/json_fields.h"
+
 #include <algorithm>
 
 #include <nlohmann/json.hpp>
@@ -70,24 +72,19 @@
     return entry;
 }
 
-std::string text(const json &inEntry, const char *inName)
-{
-    const auto found = inEntry.find(inName);
-    return found != inEntry.end() && found->is_string() ? found->get<std::string>() : std::string();
-}
-
 std::optional<claim_record> toRecord(const json &inEntry)
 {
     if (!inEntry.is_object())
         return std::nullopt;
-    claim_record record{.key = text(inEntry, "key"), .claimId = text(inEntry, "claim_id")};
-    const std::string action = text(inEntry, "action");
+    claim_record record{.key = core::readText(inEntry, "key"),
+                        .claimId = core::readText(inEntry, "claim_id")};
+    const std::string action = core::readText(inEntry, "action");
     if (record.key.empty() || record.claimId.empty())
         return std::nullopt;
     if (action == "claim") {
         record.action = claim_action::claim;
-        record.instance = text(inEntry, "instance");
-        record.requestDigest = text(inEntry, "request_digest");
+        record.instance = core::readText(inEntry, "instance");
+        record.requestDigest = core::readText(inEntry, "request_digest");
         const auto incarnation = inEntry.find("incarnation");
         if (incarnation != inEntry.end() && incarnation->is_number_unsigned())
             record.incarnation = incarnation->get<std::uint64_t>();
@@ -95,12 +92,12 @@
         record.action = claim_action::release;
     } else if (action == "done") {
         record.action = claim_action::done;
-        record.contentType = text(inEntry, "content_type");
+        record.contentType = core::readText(inEntry, "content_type");
         const auto status = inEntry.find("status");
         if (status != inEntry.end() && status->is_number_integer())
             record.status = status->get<int>();
-        record.body = inEntry.contains("body_hex") ? fromHex(text(inEntry, "body_hex"))
-                                                   : text(inEntry, "body");
+        record.body = inEntry.contains("body_hex") ? fromHex(core::readText(inEntry, "body_hex"))
+                                                   : core::readText(inEntry, "body");
     } else {
         return std::nullopt;
     }
@@ -125,7 +122,7 @@
     const json parsed = json::parse(inText, nullptr, false);
     if (!parsed.is_object() || !parsed.contains("records") || !parsed["records"].is_array())
         return std::nullopt;
-    claim_batch batch{.id = text(parsed, "batch")};
+    claim_batch batch{.id = core::readText(parsed, "batch")};
     if (batch.id.empty())
         return std::nullopt;
     for (const json &entry : parsed["records"]) {
--- a/corneltally/fleet/fleet_records.cpp
+++ b/corneltally/fleet/fleet_records.cpp
@@ -1,5 +1,7 @@
 #include "corneltally/fleet/fleet_records.h"
 
+#include "corneltally/core/json_fields.h"
+
 #include <string_view>
 
 #include <nlohmann/json.hpp>
@@ -76,9 +78,8 @@
     const json value = parseValue(inRecord);
     if (!name || !value.is_object())
         return std::nullopt;
-    return member{
-        *name, value.value("machine", std::string()), value.value("address", std::string()),
-        value.value("failure_domain", std::string()), value.value("incarnation", std::uint64_t{0})};
+    return member{*name, core::readText(value, "machine"), core::readText(value, "address"),
+                  core::readText(value, "failure_domain"), core::readCount(value, "incarnation")};
 }
 
 std::optional<claim> decodeClaim(const store::record &inRecord)
@@ -86,9 +87,9 @@
     const json value = parseValue(inRecord);
     if (!claimedEngine(inRecord) || !value.is_object())
         return std::nullopt;
-    return claim{value.value("instance", std::string()), value.value("machine", std::string()),
-                 value.value("incarnation", std::uint64_t{0}), inRecord.offset + 1,
-                 value.value("failure_domain", std::string())};
+    return claim{core::readText(value, "instance"), core::readText(value, "machine"),
+                 core::readCount(value, "incarnation"), inRecord.offset + 1,
+                 core::readText(value, "failure_domain")};
 }
 
 } // namespace corneltally::fleet
--- a/tests/unit/platform_codec_test.cpp
+++ b/tests/unit/platform_codec_test.cpp
@@ -110,6 +110,67 @@
     CHECK_FALSE(platform::decodeEndpoint("i-1", "\xff\xfe"));
 }
 
+// Failure: one odd entry of another writer ends the processes that read the list, or is used.
+TEST_CASE(
+    "an entry that is deeply nested or has numbers out of range names no endpoint or is bounded")
+{
+    const auto entryWith = [](const std::string &inAddress, const std::string &inMore) {
+        return platform::decodeEndpoint("i-1",
+                                        R"({"service":"lm","address":")" + inAddress
+                                            + R"(","zone":"z","state":"ready")" + inMore + "}");
+    };
+    REQUIRE(entryWith("10.0.0.9:8080", ""));
+    for (const char *port : {"0", "65536", "99999", "-1", "4294967297", "8080x", ""})
+        CHECK_FALSE(entryWith("10.0.0.9:" + std::string(port), ""));
+    const std::string deep(200'000, '[');
+    CHECK_FALSE(platform::decodeEndpoint("i-1", deep));
+    const std::string closed(200'000, ']');
+    CHECK(entryWith("10.0.0.9:8080", R"(,"models":)" + deep + closed));
+    for (const char *number : {"1e300", "-1e300", "99999999999999999999999999", "1e999", "-5"}) {
+        INFO(number);
+        const std::string text(number);
+        const auto entry = entryWith("10.0.0.9:8080",
+                                     R"(,"capacity":)" + text + R"(,"sequence":)" + text
+                                         + R"(,"born":)" + text + R"(,"remaining-ms":)" + text);
+        if (!entry)
+            continue;
+        CHECK(entry->capacity >= 0);
+        CHECK(entry->capacity <= 1'000'000'000);
+        REQUIRE(entry->removedIn);
+        CHECK(*entry->removedIn >= 0ms);
+        CHECK(*entry->removedIn <= std::chrono::hours(24 * 366));
+    }
+}
+
+// Failure: a number in a caller's header turns an account's level into no number, or adds to it.
+TEST_CASE("numbers in a caller's header are bounded")
+{
+    for (const char *number : {"nan", "inf", "-inf", "-100", "1e300", "1e999", "x"}) {
+        INFO(number);
+        const std::string text(number);
+        const auto terms = platform::decodeRequest(
+            {.fields = {{std::string(platform::cTokenCountField), text + "," + text},
+                        {std::string(platform::cLengthHintField), text},
+                        {std::string(platform::cDeadlineField), text},
+                        {std::string(platform::cPromptPrefixField), "a:" + text + ",b:10"}}});
+        for (const double tokens : {terms.promptTokens.value_or(0), terms.answerTokens,
+                                    terms.expectedTokens, terms.parts[0].tokens}) {
+            CHECK(tokens >= 0);
+            CHECK(tokens <= 1e12);
+        }
+        CHECK(terms.timeLeft.value_or(1ms) >= 0ms);
+        CHECK(terms.timeLeft.value_or(1ms) <= std::chrono::hours(24 * 366));
+    }
+}
+
+// Failure: an adapter name that is no UTF-8 ends the process that orders it.
+TEST_CASE("an order for an adapter whose name is no UTF-8 is encoded")
+{
+    const auto request = platform::orderRequest({"10.0.0.9", 8080}, "i-1",
+                                                {.model = "m\xff", .adapter = "a\xc3\x28"});
+    CHECK_FALSE(request.body.empty());
+}
+
 TEST_CASE("records that set an adapter version are distinguished from other records")
 {
     const auto named = platform::decodeNamedVersion("version/m.a3",
