Believe only refusals that name their request, and only streams that continue one

- A refusal that a faulty endpoint writes once more on a kept connection.
One with another request's id was dropped before; one without an id was believed: the caller was told that its request had not run, or it was sent to a second endpoint.
Now its outcome is unknown.
Endpoints echo the id, so the refusal in the fixture of the tests does too; what its tests check is the same.
- A stream that broke off and goes on at an endpoint that answers with something else.
Refusals and failures did break the stream off; a sealed success that is no stream was written into it with a second head.
Now the stream is broken off.

--- a/corneltally/forwarding/forwarded_request.cpp
+++ b/corneltally/forwarding/forwarded_request.cpp
@@ -291,6 +291,8 @@
         : mContext.pool.take(target.entry.address,
                              repeatable ? mContext.settings.repeatableIdleLimit
                                         : mContext.settings.onceIdleLimit);
+    // An extra answer to an earlier request could arrive on it.
+    mOnKeptConnection = mUpstream->used();
     mUpstream->start(head, mRequest.body,
                      {.accepts =
                           [this](const http1::response_head &inHead) {
@@ -410,8 +412,12 @@
     const bool encoded = http1::findField(mHead.fields, "Content-Encoding").has_value();
     const bool endsInsideEvent
         = !mBuffersAnswer && mSplitter.remainder().find_first_not_of("\r\n") != std::string::npos;
-    if (mAnswer.notExecuted)
+    if (mAnswer.notExecuted && mOnKeptConnection && !mAnswer.namesRequest)
+        attemptEnded(attempt_result::broken, "the refusal names no request");
+    else if (mAnswer.notExecuted)
         attemptEnded(attempt_result::refused, mAnswer.misdirected ? "misdirected" : "shed");
+    else if (mAnswerStarted && mBuffersAnswer && mAnswer.status / 100 == 2)
+        attemptEnded(attempt_result::broken, "the answer does not continue the stream");
     else if (endsInsideEvent)
         streamEndedInsideEvent();
     else if (mAnswer.status / 100 == 2 && mAnswer.sealed && !encoded)
--- a/corneltally/forwarding/forwarded_request.h
+++ b/corneltally/forwarding/forwarded_request.h
@@ -140,6 +140,7 @@
     int mLoadRetries = 0;
     int mLoadsRequested = 0;
     routing::answer_terms mAnswer;
+    bool mOnKeptConnection = false;
     bool mHeadReceived = false;
     /// The last attempt ended with a failure answered by the endpoint, which can be forwarded.
     bool mFailureAnswerStored = false;
--- a/corneltally/routing/request_terms.h
+++ b/corneltally/routing/request_terms.h
@@ -51,6 +51,8 @@
     bool misdirected = false;
     /// The answer carries the endpoint's seal.
     bool sealed = false;
+    /// The answer carries the id of its request.
+    bool namesRequest = false;
 
     friend auto operator<=>(const answer_terms &, const answer_terms &) = default;
 };
--- a/tests/unit/forwarding_front_fixture.h
+++ b/tests/unit/forwarding_front_fixture.h
@@ -29,8 +29,10 @@
 
 inline const std::string cSealed = "HTTP/1.1 200 OK\r\n" + std::string(platform::cSealField)
     + ": s1\r\nContent-Length: 2\r\n\r\nok";
+/// Refusal of the request with the id that callers of the fixture send by default.
 inline const std::string cRefused = "HTTP/1.1 503 Service Unavailable\r\n"
-    + std::string(platform::cNotExecutedField) + ": 1\r\nContent-Length: 0\r\n\r\n";
+    + std::string(platform::cNotExecutedField) + ": 1\r\n" + std::string(platform::cRequestIdField)
+    + ": id1\r\nContent-Length: 0\r\n\r\n";
 inline const std::string cFailed = "HTTP/1.1 500 Failed\r\n" + std::string(platform::cSealField)
     + ": s1\r\nContent-Length: 3\r\n\r\nbad";
 inline const std::string cStreamHead = "HTTP/1.1 200 OK\r\n" + std::string(platform::cSealField)
--- a/tests/unit/forwarding_front_test.cpp
+++ b/tests/unit/forwarding_front_test.cpp
@@ -286,6 +286,44 @@
     CHECK(view.body == "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
 }
 
+// Failure: a faulty endpoint writes an earlier refusal once more on a kept connection, and the
+// caller of the next request is told that it has not run.
+TEST_CASE("a refusal without a request id on a kept connection proves nothing")
+{
+    const std::string unnamed = "HTTP/1.1 503 Service Unavailable\r\n"
+        + std::string(platform::cNotExecutedField) + ": 1\r\nContent-Length: 0\r\n\r\n";
+    front_fixture fixture;
+    fixture.configure(repetition::once, 2);
+    fixture.first.script = {{cSealed}, {unnamed}};
+    REQUIRE(fixture.call().status == 200);
+    CHECK(fixture.call().status == 502);
+    CHECK(fixture.first.streams.size() == 1);
+    CHECK(fixture.second.requests.empty());
+}
+
+// Failure: the text of an error, or a second head, stands in the middle of a stream, or the stream
+// looks complete.
+TEST_CASE("a stream that goes on at an endpoint without a stream to give is broken off")
+{
+    const std::string begun = cStreamHead + chunk("id: 1\ndata: a\n\n");
+    const std::string other
+        = GENERATE(cFailed, cRefused, cSealed,
+                   std::string("HTTP/1.1 404 Not Found\r\nContent-Length: 3\r\n\r\nbad"),
+                   "HTTP/1.1 404 Not Found\r\n" + std::string(platform::cSealField)
+                       + ": s1\r\nContent-Length: 3\r\n\r\nbad",
+                   std::string("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+                               "Content-Length: 8\r\n\r\nid: 2\n\n"));
+    front_fixture fixture;
+    fixture.configure(repetition::resumable_stream, 2);
+    fixture.first.script = {{begun, true}};
+    fixture.second.script = {{other}};
+    const caller_view view = fixture.call();
+    CHECK(fixture.second.requests.size() == 1);
+    CHECK(view.end.outcome == kind::broken);
+    CHECK(view.end.reason != "the bytes are not an answer");
+    CHECK(view.body == "id: 1\ndata: a\n\n");
+}
+
 TEST_CASE("a resumable stream continues at another endpoint after the last complete event")
 {
     front_fixture fixture;
