Hold back requests from endpoints whose answers say that they leave or want a pause

What endpoints saw: one whose entry still said ready got requests after its answers had said that it leaves, and one that turned a request away for some seconds got the next one at once.

Cause: the state of an endpoint came from the platform's list and from outcomes only; neither header was read.

Change: platform/ decodes both into an endpoint_notice, from answers to requests, orders and status checks. An endpoint_condition, which belongs to one start of the endpoint, keeps it; entries, lapses and removals do not change it, a new start does. Requests that wait for the endpoint choose again, idle connections to it are closed, orders and status checks wait too, and its holder reports that it takes no loads. Leaving goes to the other instances of the domain with heartbeats. A pause counts neither as a failure nor as leaving; if all endpoints of a service are paused, callers are told to come back spread over the time in which the endpoints do. A pause is bounded by five minutes: after that one request tests the endpoint, and another refusal renews the pause.

--- /dev/null
+++ b/corneltally/engines/endpoint_condition.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "corneltally/core/boot_clock.h"
+#include "corneltally/engines/endpoint_notice.h"
+
+namespace corneltally::engines {
+
+/// Whether an endpoint takes requests, as far as its own answers say. Belongs to one start of the
+/// endpoint: entries of the platform's list do not change it.
+class endpoint_condition
+{
+public:
+    /// A longer pause counts as this. Then a request tests whether the endpoint still wants it, so
+    /// that a faulty one can't take itself out of service with one answer.
+    static constexpr core::duration sMaxPause = std::chrono::minutes(5);
+
+    /// Returns whether the condition changed.
+    bool apply(const endpoint_notice &inNotice, core::time_point inNow);
+
+    bool isLeaving() const { return mIsLeaving; }
+    bool isPaused(core::time_point inNow) const { return inNow < mPausedUntil; }
+    bool takesRequests(core::time_point inNow) const { return !mIsLeaving && !isPaused(inNow); }
+    core::time_point pausedUntil() const { return mPausedUntil; }
+
+    /// Returns true once after each pause, with its length.
+    std::optional<core::duration> takeEndedPause(core::time_point inNow);
+
+private:
+    bool mIsLeaving = false;
+    core::time_point mPausedUntil;
+    /// Start of the current or last pause until its end was reported.
+    std::optional<core::time_point> mPausedSince;
+};
+
+} // namespace corneltally::engines
--- a/corneltally/engines/endpoint_table.cpp
+++ b/corneltally/engines/endpoint_table.cpp
@@ -88,6 +88,7 @@
         target = endpoint{};
     target.entry = inEntry;
     target.digest = digestOf(inEntry.id);
+    target.startDigest = startDigest(inEntry.id, inEntry.startedMs);
     mByDigest[target.digest] = &target;
     target.removed = false;
     if (restarted || inNow - target.holderReportAt > sMaxHolderReportAge)
@@ -95,6 +96,56 @@
     return restarted;
 }
 
+bool endpoint_table::applyNotice(std::string_view inId, std::uint64_t inStartedMs,
+                                 const endpoint_notice &inNotice, core::time_point inNow)
+{
+    endpoint *target = find(inId);
+    return target != nullptr && target->entry.startedMs == inStartedMs
+        && target->condition.apply(inNotice, inNow);
+}
+
+std::vector<std::string> endpoint_table::applyPeerLeaving(const std::set<std::uint64_t> &inStarts,
+                                                          core::time_point inNow)
+{
+    std::vector<std::string> changed;
+    if (inStarts.empty())
+        return changed;
+    for (auto &[id, target] : mEndpoints) {
+        if (inStarts.contains(target.startDigest)
+            && target.condition.apply({.leaving = true}, inNow))
+            changed.push_back(id);
+    }
+    return changed;
+}
+
+std::optional<std::pair<core::time_point, core::time_point>>
+endpoint_table::pauseEnds(std::string_view inService, core::time_point inNow) const
+{
+    std::optional<std::pair<core::time_point, core::time_point>> ends;
+    for (const auto &[id, target] : mEndpoints) {
+        if (target.entry.service != inService || target.removed || target.entry.leaving
+            || target.condition.isLeaving())
+            continue;
+        if (!target.condition.isPaused(inNow))
+            return std::nullopt;
+        const core::time_point until = target.condition.pausedUntil();
+        ends = ends ? std::pair(std::min(ends->first, until), std::max(ends->second, until))
+                    : std::pair(until, until);
+    }
+    return ends;
+}
+
+std::vector<std::pair<std::string, core::duration>>
+endpoint_table::takeEndedPauses(core::time_point inNow)
+{
+    std::vector<std::pair<std::string, core::duration>> ended;
+    for (auto &[id, target] : mEndpoints) {
+        if (const auto length = target.condition.takeEndedPause(inNow))
+            ended.emplace_back(id, *length);
+    }
+    return ended;
+}
+
 void endpoint_table::remove(std::string_view inId, bool inMayReturn, core::time_point inNow)
 {
     endpoint *target = find(inId);
@@ -284,7 +335,8 @@
 
 bool endpoint_table::usable(const endpoint &inEndpoint, core::time_point inNow) const
 {
-    if (inEndpoint.entry.leaving || inNow < inEndpoint.notBefore)
+    if (inEndpoint.entry.leaving || !inEndpoint.condition.takesRequests(inNow)
+        || inNow < inEndpoint.notBefore)
         return false;
     return !inEndpoint.removed || inNow - inEndpoint.removedAt < sReturnTimeout;
 }
@@ -303,8 +355,10 @@
 {
     std::erase_if(mEndpoints, [&](const auto &inEntry) {
         const endpoint &target = inEntry.second;
-        const bool isOld = target.removed && target.own.requests == 0
-            && inNow - target.removedAt > sRemovedRetention;
+        const core::duration retention
+            = target.condition.isLeaving() ? sLeavingRetention : sRemovedRetention;
+        const bool isOld
+            = target.removed && target.own.requests == 0 && inNow - target.removedAt > retention;
         if (isOld)
             mByDigest.erase(target.digest);
         return isOld;
--- a/corneltally/engines/endpoint_table.h
+++ b/corneltally/engines/endpoint_table.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include "corneltally/core/boot_clock.h"
+#include "corneltally/engines/endpoint_condition.h"
 #include "corneltally/engines/endpoint_entry.h"
+#include "corneltally/engines/endpoint_notice.h"
 #include "corneltally/engines/estimate_correction.h"
 #include "corneltally/scheduling/endpoint_health.h"
 
@@ -65,6 +67,10 @@
 {
     endpoint_entry entry;
     endpoint_digest digest = 0;
+    /// Digest of this start of the endpoint.
+    std::uint64_t startDigest = 0;
+    /// What the endpoint's answers say.
+    endpoint_condition condition;
     /// The entry was removed, or expired while the store was unavailable.
     bool removed = false;
     core::time_point removedAt;
@@ -123,10 +129,22 @@
     static constexpr double sPauseWeight = 0.25;
     /// A removed endpoint's state is dropped after this time.
     static constexpr core::duration sRemovedRetention = std::chrono::seconds(30);
+    /// The same for an endpoint that said that it leaves: its entry may come back for a while.
+    static constexpr core::duration sLeavingRetention = std::chrono::minutes(10);
 
     /// Adds or updates an endpoint. Returns true if the endpoint is new or has restarted.
     bool apply(const endpoint_entry &inEntry, core::time_point inNow);
 
+    /// Applies what an answer of an endpoint said; ignored if it was another start. Returns whether
+    /// the endpoint's condition changed.
+    bool applyNotice(std::string_view inId, std::uint64_t inStartedMs,
+                     const endpoint_notice &inNotice, core::time_point inNow);
+
+    /// Marks starts of endpoints as leaving, which another instance read in their answers. Returns
+    /// the ids of those that were not yet known to leave.
+    std::vector<std::string> applyPeerLeaving(const std::set<std::uint64_t> &inStarts,
+                                              core::time_point inNow);
+
     /// Marks an endpoint as removed. With inMayReturn, since the store was unavailable, it stays
     /// usable for sReturnTimeout.
     void remove(std::string_view inId, bool inMayReturn, core::time_point inNow);
@@ -183,6 +201,14 @@
     /// Whether an endpoint may receive new requests.
     bool usable(const endpoint &inEndpoint, core::time_point inNow) const;
 
+    /// First and last end of the pauses that the endpoints of a service asked for, if it has
+    /// endpoints that stay and all of them are paused.
+    std::optional<std::pair<core::time_point, core::time_point>>
+    pauseEnds(std::string_view inService, core::time_point inNow) const;
+
+    /// Endpoints whose pauses have ended since the last call, with the lengths of the pauses.
+    std::vector<std::pair<std::string, core::duration>> takeEndedPauses(core::time_point inNow);
+
     /// Endpoints of a service in the order of their ids.
     std::vector<endpoint *> ofService(std::string_view inService);
 
--- a/corneltally/fleet/fleet_codec.cpp
+++ b/corneltally/fleet/fleet_codec.cpp
@@ -231,6 +231,7 @@
         target.sent_at_us = inHeartbeat.sentAt.time_since_epoch().count();
         target.store_failing = inHeartbeat.storeFailing;
         target.quarantine = encodeQuarantine(inHeartbeat.quarantine, now);
+        target.leaving.assign(inHeartbeat.leaving.begin(), inHeartbeat.leaving.end());
         body.Set(std::move(target));
     }
 
@@ -353,7 +354,8 @@
                       .pauses = decodePauses(inBody.pauses),
                       .sentAt = core::time_point(core::duration(inBody.sent_at_us)),
                       .storeFailing = inBody.store_failing,
-                      .quarantine = decodeQuarantine(inBody.quarantine.get(), inNow)};
+                      .quarantine = decodeQuarantine(inBody.quarantine.get(), inNow),
+                      .leaving = {inBody.leaving.begin(), inBody.leaving.end()}};
     for (const auto &use : inBody.account_uses)
         decoded.accountUses.push_back({use->account, use->amount});
     return decoded;
--- a/corneltally/fleet/fleet_messages.h
+++ b/corneltally/fleet/fleet_messages.h
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <variant>
 #include <vector>
@@ -66,6 +67,8 @@
     /// Whether the sender's reads of the store fail.
     bool storeFailing = false;
     quarantine::quarantine_state quarantine;
+    /// Digests of starts of endpoints whose answers say that they leave.
+    std::set<std::uint64_t> leaving;
 
     friend bool operator==(const heartbeat &, const heartbeat &) = default;
 };
--- a/corneltally/fleet/mesh_messages.h
+++ b/corneltally/fleet/mesh_messages.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -60,6 +61,7 @@
     std::vector<engines::adapter_digest> adaptersRunning;
     std::vector<answer_pause> pauses;
     quarantine::quarantine_state quarantine;
+    std::set<std::uint64_t> leaving;
 };
 
 } // namespace corneltally::fleet
--- a/corneltally/fleet/mesh_service.cpp
+++ b/corneltally/fleet/mesh_service.cpp
@@ -499,7 +499,8 @@
                    .adapterUses = inPart.adapterUses,
                    .adaptersRunning = inPart.adaptersRunning,
                    .pauses = inPart.pauses,
-                   .quarantine = inPart.quarantine};
+                   .quarantine = inPart.quarantine,
+                   .leaving = inPart.leaving};
     const core::time_point now = core::boot_clock::now();
     beat.sentAt = now;
     beat.storeFailing = mStoreFailing;
--- a/corneltally/forwarding/forwarded_request.cpp
+++ b/corneltally/forwarding/forwarded_request.cpp
@@ -227,7 +227,7 @@
         if (mFailureAnswerStored)
             passFailure();
         else if (mRunState == run_state::not_run)
-            refuseBusy("no endpoint can serve the request");
+            refuseUnserved("no endpoint can serve the request");
         else
             answerUnknown("no other endpoint can serve the request");
         return;
@@ -261,6 +261,7 @@
     ++mSendCount;
     mUsedEndpoints.insert(mChoice.endpoint);
     mHeadReceived = false;
+    mAnswerAsksPause = false;
     mBuffersAnswer = false;
     mBody.clear();
     mSplitter.clear();
@@ -474,7 +475,7 @@
     mFailureAnswerStored = inResult == attempt_result::failure_answered;
     const bool adapterRefused = inResult == attempt_result::refused && !mWork.adapter.empty();
     if (isSameStart) {
-        if (adapterRefused || inResult == attempt_result::refused)
+        if (inResult == attempt_result::refused || mAnswerAsksPause)
             target->health.abandoned();
         else
             target->health.failed(now);
@@ -506,7 +507,7 @@
         chooseAndSend();
         return;
     case next_step::refuse:
-        refuseBusy(inReason);
+        refuseUnserved(inReason);
         return;
     case next_step::pass_failure:
         passFailure();
--- a/corneltally/forwarding/forwarded_request.h
+++ b/corneltally/forwarding/forwarded_request.h
@@ -81,6 +81,7 @@
     void refuse(int inStatus, std::string_view inReason,
                 std::optional<core::duration> inRetryAfter = std::nullopt);
     void refuseBusy(std::string_view inReason);
+    void refuseUnserved(std::string_view inReason);
     void answerUnknown(std::string_view inReason);
     void passFailure();
     bool retryWhenLoaded(std::string_view inReason);
@@ -141,6 +142,7 @@
     int mLoadsRequested = 0;
     routing::answer_terms mAnswer;
     bool mOnKeptConnection = false;
+    bool mAnswerAsksPause = false;
     bool mHeadReceived = false;
     /// The last attempt ended with a failure answered by the endpoint, which can be forwarded.
     bool mFailureAnswerStored = false;
--- a/corneltally/forwarding/forwarded_request_adapter.cpp
+++ b/corneltally/forwarding/forwarded_request_adapter.cpp
@@ -122,7 +122,7 @@
     const bool expected = target != nullptr
         && (target->adapters.arriving.contains(key) || isAdapterResident() || mLoadRetries > 0);
     if (expected) {
-        if (mLoadRetries > 0)
+        if (mLoadRetries > 0 && mContext.endpoints.usable(*target, now))
             send();
         else
             sendOrAwaitAdapter();
@@ -169,6 +169,7 @@
     if (!lost && !loadMayBeLate && mLoadRetries == 0 && !target.adapters.arriving.contains(key))
         return false;
     if (mLoadRetries >= mContext.settings.maxLoadRetries || timeLeft() < cMinAttemptTime
+        || !mContext.endpoints.usable(target, now)
         || !mContext.retries.tryRetry(mService->name, now))
         return false;
     ++mLoadRetries;
--- a/corneltally/forwarding/forwarded_request_answer.cpp
+++ b/corneltally/forwarding/forwarded_request_answer.cpp
@@ -4,6 +4,7 @@
 #include "corneltally/core/json_log.h"
 #include "corneltally/core/metrics.h"
 #include "corneltally/forwarding/forward_context.h"
+#include "corneltally/kernel/service_registry.h"
 #include "platform/request_codec.h"
 
 #include <algorithm>
@@ -65,6 +66,12 @@
 {
     mHeadReceived = true;
     mAnswer = platform::decodeAnswer(inHead);
+    const engines::endpoint_noticed noticed{mChoice.endpoint, mEndpointStart,
+                                            platform::decodeNotice(inHead.status, inHead.fields)};
+    mAnswerAsksPause = noticed.notice.pause.has_value();
+    if (mContext.endpoints.applyNotice(noticed.endpoint, noticed.startedMs, noticed.notice,
+                                       core::boot_clock::now()))
+        mContext.registry.broadcast(noticed);
     const bool isEvents = http1::findField(inHead.fields, "Content-Type")
                               .value_or("")
                               .starts_with("text/event-stream");
@@ -219,6 +226,26 @@
     refuse(503, inReason, retryAfter());
 }
 
+/// Refuses the request since no endpoint takes it now. If all of them asked for a pause, the caller
+/// is told when they come back.
+void forwarded_request::refuseUnserved(std::string_view inReason)
+{
+    const core::time_point now = core::boot_clock::now();
+    const auto ends = mContext.endpoints.pauseEnds(mService->name, now);
+    if (!ends) {
+        refuseBusy(inReason);
+        return;
+    }
+    // Callers return spread over the time in which the endpoints do.
+    const core::duration first = ends->first - now;
+    const core::duration spread = ends->second - ends->first;
+    const core::duration own = retryAfter();
+    const double fraction = std::chrono::duration<double>(own - mContext.settings.minRetryAfter)
+        / std::chrono::duration<double>(mContext.settings.retryAfterSpread);
+    refuse(503, "all endpoints asked for a pause",
+           first + std::chrono::duration_cast<core::duration>(spread * fraction) + own);
+}
+
 void forwarded_request::answerUnknown(std::string_view inReason)
 {
     if (mAnswerStarted) {
--- a/corneltally/forwarding/front_service.cpp
+++ b/corneltally/forwarding/front_service.cpp
@@ -41,11 +41,7 @@
                .namedVersions = {},
                .adapterUses = {},
                .stopAt = {}}
-    , mPruneTimer(ioRegistry.loop(),
-                  [this] {
-                      mContext.pool.prune();
-                      mContext.endpoints.prune(core::boot_clock::now());
-                  })
+    , mPruneTimer(ioRegistry.loop(), [this] { prune(); })
     , mListener(ioRegistry.loop(), [this](int inSocket) { accept(inSocket); })
 {
     ioRegistry.handle<catalog::configuration_changed>(
@@ -60,8 +56,15 @@
         });
     ioRegistry.handle<catalog::endpoint_changed>(
         cName, [this](const catalog::endpoint_changed &inChanged) {
-            if (mContext.endpoints.apply(inChanged.entry, core::boot_clock::now()))
+            const engines::endpoint *known = mContext.endpoints.find(inChanged.entry.id);
+            const bool wasLeaving = known != nullptr && known->condition.isLeaving();
+            if (mContext.endpoints.apply(inChanged.entry, core::boot_clock::now())) {
                 mContext.pool.closeIdleTo(inChanged.entry.address);
+                if (wasLeaving)
+                    core::logEvent(core::log_level::info, "endpoint_back",
+                                   {{"endpoint", inChanged.entry.id},
+                                    {"started_ms", inChanged.entry.startedMs}});
+            }
             endpointChanged(inChanged.entry.id);
         });
     ioRegistry.handle<catalog::endpoint_removed>(
@@ -74,6 +77,8 @@
             mContext.endpoints.keepOnly(inListed.ids, inListed.mayReturn, core::boot_clock::now());
             mEndpointsListed = true;
         });
+    ioRegistry.handle<engines::endpoint_noticed>(
+        cName, [this](const engines::endpoint_noticed &inNoticed) { endpointNoticed(inNoticed); });
     ioRegistry.handle<orders::held_engine_changed>(
         cName, [this](const orders::held_engine_changed &inChanged) {
             engineStateReceived(mOptions.instance, inChanged.state);
@@ -221,6 +226,51 @@
         request->endpointChanged(inEndpoint);
 }
 
+/// A notice was read in an answer, here or by the order service.
+void front_service::endpointNoticed(const engines::endpoint_noticed &inNoticed)
+{
+    const core::time_point now = core::boot_clock::now();
+    mContext.endpoints.applyNotice(inNoticed.endpoint, inNoticed.startedMs, inNoticed.notice, now);
+    const engines::endpoint *target = mContext.endpoints.find(inNoticed.endpoint);
+    if (target == nullptr || target->entry.startedMs != inNoticed.startedMs)
+        return;
+    const core::duration pause
+        = std::max(core::duration::zero(), target->condition.pausedUntil() - now);
+    core::logEvent(core::log_level::info, "endpoint_notice",
+                   {{"endpoint", inNoticed.endpoint},
+                    {"leaving", target->condition.isLeaving()},
+                    {"pause_ms", pause.count() / 1000},
+                    {"requests", target->own.requests},
+                    {"source", "answer"}});
+    mContext.metrics.count(inNoticed.notice.leaving ? "endpoint_notices_total{kind=\"leaving\"}"
+                                                    : "endpoint_notices_total{kind=\"pause\"}");
+    if (inNoticed.notice.leaving)
+        mContext.pool.closeIdleTo(target->entry.address);
+    endpointChanged(inNoticed.endpoint);
+}
+
+void front_service::peerSaysLeaving(const std::string &inInstance,
+                                    const std::set<std::uint64_t> &inStarts)
+{
+    for (const std::string &id :
+         mContext.endpoints.applyPeerLeaving(inStarts, core::boot_clock::now())) {
+        core::logEvent(core::log_level::info, "endpoint_notice",
+                       {{"endpoint", id}, {"leaving", true}, {"source", inInstance}});
+        mContext.pool.closeIdleTo(mContext.endpoints.find(id)->entry.address);
+        endpointChanged(id);
+    }
+}
+
+void front_service::prune()
+{
+    const core::time_point now = core::boot_clock::now();
+    mContext.pool.prune();
+    mContext.endpoints.prune(now);
+    for (const auto &[id, length] : mContext.endpoints.takeEndedPauses(now))
+        core::logEvent(core::log_level::info, "endpoint_pause_ended",
+                       {{"endpoint", id}, {"pause_ms", length.count() / 1000}});
+}
+
 void front_service::engineStateReceived(const std::string &inHolder,
                                         const fleet::engine_state &inState)
 {
@@ -244,6 +294,7 @@
         mContext.allowance.applyPeerTotals(inReceived.instance, inReceived.incarnation,
                                            beat->accountUses, true, now);
         quarantineReported(beat->quarantine);
+        peerSaysLeaving(inReceived.instance, beat->leaving);
     }
 }
 
@@ -314,6 +365,8 @@
 {
     fleet::heartbeat_part part{.accountUses = mContext.allowance.ownUses()};
     for (const auto &[id, target] : mContext.endpoints.all()) {
+        if (target.condition.isLeaving() && !target.removed)
+            part.leaving.insert(target.startDigest);
         if (target.own.requests > 0)
             part.loads[target.digest] = target.own;
         for (const auto &[adapter, count] : target.ownRunning)
--- a/corneltally/forwarding/front_service.h
+++ b/corneltally/forwarding/front_service.h
@@ -84,6 +84,9 @@
     void summaryReceived(const fleet::domain_summary &inSummary);
     void engineStateReceived(const std::string &inHolder, const fleet::engine_state &inState);
     void sendHeartbeatPart();
+    void endpointNoticed(const engines::endpoint_noticed &inNoticed);
+    void peerSaysLeaving(const std::string &inInstance, const std::set<std::uint64_t> &inStarts);
+    void prune();
     void quarantineReported(const quarantine::quarantine_state &inState);
     void updateQuarantine();
     void destroyLater(std::unique_ptr<forwarded_request> inRequest,
--- a/corneltally/orders/order_service.cpp
+++ b/corneltally/orders/order_service.cpp
@@ -7,6 +7,7 @@
 #include "corneltally/kernel/service_registry.h"
 #include "corneltally/routing/routing_table.h"
 #include "platform/document_codec.h"
+#include "platform/request_codec.h"
 
 #include <algorithm>
 #include <cmath>
@@ -99,6 +100,8 @@
     mRegistry.handle<catalog::endpoint_changed>(
         cName,
         [this](const catalog::endpoint_changed &inChanged) { endpointChanged(inChanged.entry); });
+    mRegistry.handle<engines::endpoint_noticed>(
+        cName, [this](const engines::endpoint_noticed &inNoticed) { endpointNoticed(inNoticed); });
     mRegistry.handle<catalog::endpoint_removed>(cName,
                                                 [this](const catalog::endpoint_removed &inRemoved) {
                                                     if (!inRemoved.mayReturn)
@@ -425,7 +428,11 @@
     claimEngines(now);
     for (auto &[engine, state] : mHeld) {
         advanceEngine(engine, state, now);
-        if (state.controller.reportDue(now) && state.controller.entry().address.port != 0)
+        const engines::endpoint_condition *condition
+            = conditionOf(engine, state.controller.entry().startedMs);
+        const bool isPaused = condition != nullptr && condition->isPaused(now);
+        if (state.controller.reportDue(now) && !isPaused
+            && state.controller.entry().address.port != 0)
             requestReport(engine, state, now);
     }
 }
@@ -468,7 +475,7 @@
                                   core::time_point inNow)
 {
     ioHeld.controller.advance(inNow);
-    if (mClaims.mayOrder(inEngine, inNow)) {
+    if (mClaims.mayOrder(inEngine, inNow) && takesOrders(inEngine, ioHeld, inNow)) {
         ioHeld.controller.setLoadState(loadStateOf(inEngine, inNow));
         if (const auto order = ioHeld.controller.nextOrder(inNow))
             sendOrder(inEngine, *order);
@@ -482,9 +489,11 @@
     order.holder = mOptions.self.instance;
     order.fence = mClaims.find(inEngine)->fence;
     const core::time_point sentAt = core::boot_clock::now();
-    const http1::address target = mHeld.at(inEngine).controller.entry().address;
-    mFetcher.fetch(platform::orderRequest(target, inEngine, order),
-                   [this, inEngine, inOrder, sentAt](const http1::fetch_result &inResult) {
+    const engines::endpoint_entry &entry = mHeld.at(inEngine).controller.entry();
+    mFetcher.fetch(platform::orderRequest(entry.address, inEngine, order),
+                   [this, inEngine, inOrder, sentAt,
+                    startedMs = entry.startedMs](const http1::fetch_result &inResult) {
+                       answerReceived(inEngine, startedMs, inResult);
                        orderEnded(inEngine, inOrder, platform::decodeOrderOutcome(inResult),
                                   sentAt);
                    });
@@ -516,7 +525,9 @@
 {
     ioHeld.controller.reportStarted(inNow);
     mFetcher.fetch(platform::reportRequest(ioHeld.controller.entry().address),
-                   [this, inEngine](const http1::fetch_result &inResult) {
+                   [this, inEngine, startedMs = ioHeld.controller.entry().startedMs](
+                       const http1::fetch_result &inResult) {
+                       answerReceived(inEngine, startedMs, inResult);
                        const auto found = mHeld.find(inEngine);
                        if (found == mHeld.end())
                            return;
@@ -532,13 +543,59 @@
                    });
 }
 
+void order_service::answerReceived(const std::string &inEngine, std::uint64_t inStartedMs,
+                                   const http1::fetch_result &inResult)
+{
+    const engines::endpoint_noticed noticed{
+        inEngine, inStartedMs, platform::decodeNotice(inResult.status, inResult.fields)};
+    // A report may come from another start of the engine, or from another engine at its address.
+    const auto report = platform::decodeReport(inResult);
+    if (noticed.notice == engines::endpoint_notice()
+        || (report && report->startedMs != inStartedMs))
+        return;
+    endpointNoticed(noticed);
+    mRegistry.post("front", noticed);
+}
+
+void order_service::endpointNoticed(const engines::endpoint_noticed &inNoticed)
+{
+    const core::time_point now = core::boot_clock::now();
+    std::erase_if(mConditions, [&](const auto &inEntry) {
+        return !mEntries.contains(inEntry.first)
+            && now - inEntry.second.notedAt > engines::endpoint_table::sLeavingRetention;
+    });
+    noted_condition &known = mConditions[inNoticed.endpoint];
+    if (known.startedMs != inNoticed.startedMs)
+        known = {.startedMs = inNoticed.startedMs, .condition = {}, .notedAt = {}};
+    known.notedAt = now;
+    known.condition.apply(inNoticed.notice, now);
+}
+
+/// What the answers of a start of an engine said; null if nothing.
+const engines::endpoint_condition *order_service::conditionOf(const std::string &inEngine,
+                                                              std::uint64_t inStartedMs) const
+{
+    const auto found = mConditions.find(inEngine);
+    const bool isKnown = found != mConditions.end() && found->second.startedMs == inStartedMs;
+    return isKnown ? &found->second.condition : nullptr;
+}
+
+bool order_service::takesOrders(const std::string &inEngine, const held_engine &inHeld,
+                                core::time_point inNow) const
+{
+    const engines::endpoint_condition *condition
+        = conditionOf(inEngine, inHeld.controller.entry().startedMs);
+    return condition == nullptr || condition->takesRequests(inNow);
+}
+
 void order_service::publish(const std::string &inEngine, held_engine &ioHeld,
                             core::time_point inNow)
 {
     const engine_controller &controller = ioHeld.controller;
     fleet::engine_state state{.endpoint = inEngine,
                               .startedMs = controller.entry().startedMs,
-                              .ready = mClaims.mayOrder(inEngine, inNow) && controller.inSync(),
+                              .ready = mClaims.mayOrder(inEngine, inNow) && controller.inSync()
+                                  && takesOrders(inEngine, ioHeld, inNow),
                               .adapters = controller.adapters(),
                               .models = controller.models(),
                               .queued = controller.queued()};
--- a/corneltally/orders/order_service.h
+++ b/corneltally/orders/order_service.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "corneltally/catalog/catalog_messages.h"
+#include "corneltally/engines/endpoint_condition.h"
 #include "corneltally/fleet/holder_claims.h"
 #include "corneltally/fleet/mesh_messages.h"
 #include "corneltally/http1/fetcher.h"
@@ -60,6 +61,14 @@
         core::time_point publishedAt;
     };
 
+    /// What the answers of one start of an engine said.
+    struct noted_condition
+    {
+        std::uint64_t startedMs = 0;
+        engines::endpoint_condition condition;
+        core::time_point notedAt;
+    };
+
     void topicUpdated(const catalog::fleet_topic_updated &inUpdate);
     void endpointChanged(const engines::endpoint_entry &inEntry);
     void endpointRemoved(const std::string &inId);
@@ -88,6 +97,13 @@
                     engines::order_outcome inOutcome, core::time_point inSentAt);
     void requestReport(const std::string &inEngine, held_engine &ioHeld, core::time_point inNow);
     void publish(const std::string &inEngine, held_engine &ioHeld, core::time_point inNow);
+    void answerReceived(const std::string &inEngine, std::uint64_t inStartedMs,
+                        const http1::fetch_result &inResult);
+    void endpointNoticed(const engines::endpoint_noticed &inNoticed);
+    const engines::endpoint_condition *conditionOf(const std::string &inEngine,
+                                                   std::uint64_t inStartedMs) const;
+    bool takesOrders(const std::string &inEngine, const held_engine &inHeld,
+                     core::time_point inNow) const;
     std::vector<fleet::fleet_node> knownEngines() const;
     const routing::engine_profile *profileOf(const engines::endpoint_entry &inEntry) const;
 
@@ -100,6 +116,9 @@
     std::shared_ptr<const routing::routing_table> mTable;
     std::map<std::string, engines::endpoint_entry> mEntries;
     std::map<std::string, held_engine> mHeld;
+    /// Conditions of engines that said something. They outlast the engines' entries, which may
+    /// lapse and come back.
+    std::map<std::string, noted_condition> mConditions;
     std::map<std::string, std::uint64_t> mNamedVersions;
     std::vector<fleet::live_candidate> mLive;
     /// Adapters of the engines that other instances hold, by engine.
--- a/schemas/fleet_generated.h
+++ b/schemas/fleet_generated.h
@@ -1101,6 +1101,7 @@
   int64_t sent_at_us = 0;
   bool store_failing = false;
   std::unique_ptr<corneltally::fleet_wire::QuarantineStateT> quarantine{};
+  std::vector<uint64_t> leaving{};
   HeartbeatT() = default;
   HeartbeatT(const HeartbeatT &o);
   HeartbeatT(HeartbeatT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1122,7 +1123,8 @@
     VT_PAUSES = 18,
     VT_SENT_AT_US = 20,
     VT_STORE_FAILING = 22,
-    VT_QUARANTINE = 24
+    VT_QUARANTINE = 24,
+    VT_LEAVING = 26
   };
   uint64_t operator_end() const {
     return GetField<uint64_t>(VT_OPERATOR_END, 0);
@@ -1157,6 +1159,9 @@
   const corneltally::fleet_wire::QuarantineState *quarantine() const {
     return GetPointer<const corneltally::fleet_wire::QuarantineState *>(VT_QUARANTINE);
   }
+  const flatbuffers::Vector<uint64_t> *leaving() const {
+    return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_LEAVING);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_OPERATOR_END, 8) &&
@@ -1177,6 +1182,8 @@
            VerifyField<uint8_t>(verifier, VT_STORE_FAILING, 1) &&
            VerifyOffset(verifier, VT_QUARANTINE) &&
            verifier.VerifyTable(quarantine()) &&
+           VerifyOffset(verifier, VT_LEAVING) &&
+           verifier.VerifyVector(leaving()) &&
            verifier.EndTable();
   }
   HeartbeatT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1221,6 +1228,9 @@
   void add_quarantine(flatbuffers::Offset<corneltally::fleet_wire::QuarantineState> quarantine) {
     fbb_.AddOffset(Heartbeat::VT_QUARANTINE, quarantine);
   }
+  void add_leaving(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> leaving) {
+    fbb_.AddOffset(Heartbeat::VT_LEAVING, leaving);
+  }
   explicit HeartbeatBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1244,10 +1254,12 @@
     flatbuffers::Offset<flatbuffers::Vector<const corneltally::fleet_wire::AnswerPause *>> pauses = 0,
     int64_t sent_at_us = 0,
     bool store_failing = false,
-    flatbuffers::Offset<corneltally::fleet_wire::QuarantineState> quarantine = 0) {
+    flatbuffers::Offset<corneltally::fleet_wire::QuarantineState> quarantine = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> leaving = 0) {
   HeartbeatBuilder builder_(_fbb);
   builder_.add_sent_at_us(sent_at_us);
   builder_.add_operator_end(operator_end);
+  builder_.add_leaving(leaving);
   builder_.add_quarantine(quarantine);
   builder_.add_pauses(pauses);
   builder_.add_adapters_running(adapters_running);
@@ -1277,12 +1289,14 @@
     const std::vector<corneltally::fleet_wire::AnswerPause> *pauses = nullptr,
     int64_t sent_at_us = 0,
     bool store_failing = false,
-    flatbuffers::Offset<corneltally::fleet_wire::QuarantineState> quarantine = 0) {
+    flatbuffers::Offset<corneltally::fleet_wire::QuarantineState> quarantine = 0,
+    const std::vector<uint64_t> *leaving = nullptr) {
   auto account_uses__ = account_uses ? _fbb.CreateVector<flatbuffers::Offset<corneltally::fleet_wire::AccountUse>>(*account_uses) : 0;
   auto loads__ = loads ? _fbb.CreateVectorOfStructs<corneltally::fleet_wire::EndpointLoad>(*loads) : 0;
   auto adapter_uses__ = adapter_uses ? _fbb.CreateVector<uint64_t>(*adapter_uses) : 0;
   auto adapters_running__ = adapters_running ? _fbb.CreateVector<uint64_t>(*adapters_running) : 0;
   auto pauses__ = pauses ? _fbb.CreateVectorOfStructs<corneltally::fleet_wire::AnswerPause>(*pauses) : 0;
+  auto leaving__ = leaving ? _fbb.CreateVector<uint64_t>(*leaving) : 0;
   return corneltally::fleet_wire::CreateHeartbeat(
       _fbb,
       operator_end,
@@ -1295,7 +1309,8 @@
       pauses__,
       sent_at_us,
       store_failing,
-      quarantine);
+      quarantine,
+      leaving__);
 }
 
 flatbuffers::Offset<Heartbeat> CreateHeartbeat(flatbuffers::FlatBufferBuilder &_fbb, const HeartbeatT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -3326,7 +3341,8 @@
         pauses(o.pauses),
         sent_at_us(o.sent_at_us),
         store_failing(o.store_failing),
-        quarantine((o.quarantine) ? new corneltally::fleet_wire::QuarantineStateT(*o.quarantine) : nullptr) {
+        quarantine((o.quarantine) ? new corneltally::fleet_wire::QuarantineStateT(*o.quarantine) : nullptr),
+        leaving(o.leaving) {
   account_uses.reserve(o.account_uses.size());
   for (const auto &account_uses_ : o.account_uses) { account_uses.emplace_back((account_uses_) ? new corneltally::fleet_wire::AccountUseT(*account_uses_) : nullptr); }
 }
@@ -3343,6 +3359,7 @@
   std::swap(sent_at_us, o.sent_at_us);
   std::swap(store_failing, o.store_failing);
   std::swap(quarantine, o.quarantine);
+  std::swap(leaving, o.leaving);
   return *this;
 }
 
@@ -3366,6 +3383,7 @@
   { auto _e = sent_at_us(); _o->sent_at_us = _e; }
   { auto _e = store_failing(); _o->store_failing = _e; }
   { auto _e = quarantine(); if (_e) _o->quarantine = std::unique_ptr<corneltally::fleet_wire::QuarantineStateT>(_e->UnPack(_resolver)); }
+  { auto _e = leaving(); if (_e) { _o->leaving.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->leaving[_i] = _e->Get(_i); } } }
 }
 
 inline flatbuffers::Offset<Heartbeat> Heartbeat::Pack(flatbuffers::FlatBufferBuilder &_fbb, const HeartbeatT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -3387,6 +3405,7 @@
   auto _sent_at_us = _o->sent_at_us;
   auto _store_failing = _o->store_failing;
   auto _quarantine = _o->quarantine ? CreateQuarantineState(_fbb, _o->quarantine.get(), _rehasher) : 0;
+  auto _leaving = _o->leaving.size() ? _fbb.CreateVector(_o->leaving) : 0;
   return corneltally::fleet_wire::CreateHeartbeat(
       _fbb,
       _operator_end,
@@ -3399,7 +3418,8 @@
       _pauses,
       _sent_at_us,
       _store_failing,
-      _quarantine);
+      _quarantine,
+      _leaving);
 }
 
 inline LoadWantedT *LoadWanted::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/tests/unit/fleet_codec_test.cpp
+++ b/tests/unit/fleet_codec_test.cpp
@@ -39,7 +39,8 @@
                                     .pauses = {{engines::digestOf("e1"), 420ms}},
                                     .sentAt = cNow - 3s,
                                     .storeFailing = true,
-                                    .quarantine = cQuarantine});
+                                    .quarantine = cQuarantine,
+                                    .leaving = {engines::startDigest("e1", 5)}});
     checkRoundTrip(fleet::operator_end{12});
     checkRoundTrip(fleet::fleet_records{
         {{"engine/e1", "{}", 4}, {"instance/a", std::nullopt, 6}}, 3, 7, true, cNow - 1s, 8});
--- a/tests/unit/forwarding_front_test.cpp
+++ b/tests/unit/forwarding_front_test.cpp
@@ -500,6 +500,105 @@
 
 // Failure: an endpoint that falls silent towards the store for a while has its running work given
 // up or started again elsewhere.
+// Failure: requests reach an endpoint that said in an answer that it leaves, since its entry still
+// says ready, is read again, or because connections to it are open.
+TEST_CASE("an endpoint that says in any answer that it leaves gets no more requests")
+{
+    const auto saying = [](std::string inAnswer) {
+        return inAnswer.insert(inAnswer.find("Content-Length"), "Server-Leaving: 1\r\n");
+    };
+    const std::string answer = GENERATE_COPY(saying(cSealed), saying(cRefused), saying(cFailed));
+    front_fixture fixture;
+    fixture.configure(repetition::repeatable, 2);
+    fixture.first.script = {{answer}};
+    fixture.second.script = {{cSealed}, {cSealed}, {cSealed}, {cSealed}};
+    CHECK(fixture.call().status == 200);
+    fixture.announce("e1", "shop", fixture.first);
+    fixture.registry.broadcast(catalog::endpoints_listed{{"e1", "e2", "m1"}, false});
+    fixture.settle(50ms);
+    CHECK(fixture.call().status == 200);
+    fixture.registry.broadcast(catalog::endpoint_removed{"e1", true});
+    fixture.settle(50ms);
+    fixture.announce("e1", "shop", fixture.first);
+    fixture.settle(50ms);
+    CHECK(fixture.call().status == 200);
+    CHECK(fixture.first.requests.size() == 1);
+    // A new start of the endpoint is served at once.
+    fixture.announce("e1", "shop", fixture.first, 2);
+    fixture.first.script = {{cSealed}};
+    fixture.settle(50ms);
+    CHECK(fixture.call().status == 200);
+    CHECK(fixture.first.requests.size() == 2);
+}
+
+// Failure: the head of a stream says that the endpoint leaves, and requests go on to it until the
+// stream ends.
+TEST_CASE("a leaving endpoint is known from the head of a stream")
+{
+    front_fixture fixture;
+    fixture.configure(repetition::once_stream, 1);
+    std::string head = cStreamHead;
+    head.insert(head.find("Content-Type"), "Server-Leaving: 1\r\n");
+    fixture.first.script = {{head + chunk("id: 1\n\n")}};
+    fixture.second.script = {{cStreamHead + chunk("id: 1\n\n") + chunk("")}};
+    const auto open = fixture.connect();
+    caller_view streaming;
+    fixture.send(*open, streaming, "/a/1");
+    fixture.settle(100ms);
+    CHECK(streaming.status == 200);
+    CHECK(fixture.call().status == 200);
+    CHECK(fixture.first.requests.size() == 1);
+}
+
+// Failure: a request that waits for an adapter is sent to an engine that meanwhile said that it
+// leaves, or asked for a pause.
+TEST_CASE("requests that wait for an engine that leaves or pauses do not reach it")
+{
+    const engines::endpoint_notice notice = GENERATE(engines::endpoint_notice{.leaving = true},
+                                                     engines::endpoint_notice{.pause = 5s});
+    front_fixture fixture;
+    fixture.configure(repetition::once, 1);
+    fixture.engineState({});
+    fixture.settle(50ms);
+    const auto open = fixture.connect();
+    caller_view view;
+    fixture.send(*open, view, "/lm/1", {{std::string(platform::cModelField), "base/a1"}});
+    fixture.settle(20ms);
+    REQUIRE(fixture.wanted.contains("m1"));
+    fixture.registry.broadcast(engines::endpoint_noticed{"m1", 1, notice});
+    fixture.loop.run();
+    CHECK(view.status == 503);
+    CHECK(fixture.first.requests.empty());
+}
+
+// Failure: an endpoint that asks for a pause gets requests during it, for want of others, since a
+// repeat prefers it, or because its health recovers by them.
+TEST_CASE("an endpoint that asks for a pause gets no requests for that time")
+{
+    std::string pausing = cRefused;
+    pausing.insert(pausing.find("Content-Length"), "Retry-After: 0.8\r\n");
+    front_fixture fixture;
+    fixture.configure(repetition::repeatable, 2);
+    fixture.first.script = {{pausing}, {cSealed}};
+    fixture.second.script = {{pausing}, {cSealed}};
+    // Both endpoints turn the request away; the caller is told when they come back.
+    const caller_view refused = fixture.call();
+    CHECK(refused.status == 503);
+    const double wait
+        = std::stod(std::string(http1::findField(refused.fields, "Retry-After").value_or("0")));
+    CHECK(wait >= 0.7);
+    CHECK(wait <= 1.6);
+    for (int attempt = 0; attempt < 6; ++attempt) {
+        CHECK(fixture.call().status == 503);
+        fixture.settle(100ms);
+    }
+    CHECK(fixture.first.requests.size() == 1);
+    CHECK(fixture.second.requests.size() == 1);
+    fixture.settle(300ms);
+    CHECK(fixture.call().status == 200);
+    CHECK(fixture.first.requests.size() == 2);
+}
+
 TEST_CASE("a request goes on at an endpoint whose entry lapses or says that it leaves")
 {
     front_fixture fixture;
--- a/tests/unit/platform_codec_test.cpp
+++ b/tests/unit/platform_codec_test.cpp
@@ -268,6 +268,32 @@
     CHECK_FALSE(platform::belongsToRequest({.fields = {{"X-Corneltally-Request-Id", "b"}}}, "a"));
 }
 
+// Failure: a pause that an endpoint asks for is misread, or a faulty value stops it for good.
+TEST_CASE("the notices in an endpoint's answer are decoded")
+{
+    const auto pauseOf = [](int inStatus, const std::vector<std::string> &inValues) {
+        http1::header_fields fields;
+        for (const std::string &value : inValues)
+            fields.emplace_back("Retry-After", value);
+        return platform::decodeNotice(inStatus, fields).pause;
+    };
+    CHECK(pauseOf(503, {"2"}) == 2s);
+    CHECK(pauseOf(503, {" 0.4"}) == 400ms);
+    CHECK(pauseOf(503, {"2", "0.4"}) == 2s);
+    CHECK(pauseOf(503, {"0"}) == 0s);
+    CHECK_FALSE(pauseOf(503, {}));
+    CHECK_FALSE(pauseOf(503, {"soon"}));
+    CHECK_FALSE(pauseOf(503, {"Sat, 05 Dec 2026 10:00:00 GMT"}));
+    CHECK_FALSE(pauseOf(503, {"-1"}));
+    CHECK_FALSE(pauseOf(503, {"nan"}));
+    CHECK_FALSE(pauseOf(429, {"2"}));
+    CHECK_FALSE(pauseOf(200, {"2"}));
+    CHECK(pauseOf(503, {"1e300"}) == 24h);
+    CHECK(platform::decodeNotice(200, {{"server-leaving", "1"}}).leaving);
+    CHECK_FALSE(platform::decodeNotice(200, {{"Server-Leaving", "0"}}).leaving);
+    CHECK_FALSE(platform::decodeNotice(200, {}).leaving);
+}
+
 TEST_CASE("Retry-After of a locally generated answer is in fractional seconds")
 {
     const auto head = platform::encodeLocalAnswer(503, "id1", 250ms);
