Let the read after operator records wait only briefly

Cause, from the logs: at 13.016 s all three readers had an adapter version and began the next read; version 21 was appended from 13.010 s, acked at 13.043 s, and ended none of the three waits. The reader whose wait is 2.5 s had it at 15.522 s, the others from it. Ruled out: cuts and outages (none at those instances), failed reads (none logged).

After records the next read waits 0.3 s, then the full time again: one call more for each series of records. The new case of catalog_service_test failed before (8 == 9).

--- a/corneltally/catalog/catalog_service.h
+++ b/corneltally/catalog/catalog_service.h
@@ -35,6 +35,8 @@
     /// then other instances relay the records, and the endpoint reader detects an unavailable
     /// store within 2 s.
     core::duration operatorWait = std::chrono::milliseconds(8000);
+    /// The same for the read after one that returned records.
+    core::duration operatorFollowUpWait = std::chrono::milliseconds(300);
     /// The same for the fleet topic, until the orders service asks for another wait.
     core::duration fleetWait = std::chrono::milliseconds(2200);
     /// Longest such waits while other instances rely on the reads of this one. The holders of
@@ -75,10 +77,11 @@
         , mMetrics(ioMetrics)
         , mClient(std::move(inClient))
         , mOptions(inOptions)
-        , mOperator(
-              ioRegistry.loop(), *mClient, inOptions.operatorTopic,
-              {.wait = inOptions.operatorWait, .relayTimeout = inOptions.operatorRelayTimeout},
-              [this](const store::topic_update &inUpdate) { operatorUpdated(inUpdate); })
+        , mOperator(ioRegistry.loop(), *mClient, inOptions.operatorTopic,
+                    {.wait = inOptions.operatorWait,
+                     .followUpWait = inOptions.operatorFollowUpWait,
+                     .relayTimeout = inOptions.operatorRelayTimeout},
+                    [this](const store::topic_update &inUpdate) { operatorUpdated(inUpdate); })
         , mEndpoints(ioRegistry.loop(), *mClient, inOptions.endpointTopic,
                      {.pause = inOptions.endpointPause, .firstPause = inOptions.firstPause},
                      [this](const store::topic_update &inUpdate) { endpointsUpdated(inUpdate); })
--- a/corneltally/store/topic_follower.h
+++ b/corneltally/store/topic_follower.h
@@ -22,6 +22,10 @@
 {
     /// Maximum time that a read waits at the store for a record.
     core::duration wait{};
+    /// Maximum wait of the read after one that returned records; zero for the full wait. Records
+    /// come in series, and the store may not end the wait of a read that began while a record was
+    /// being appended.
+    core::duration followUpWait{};
     /// Pause between two reads.
     core::duration pause{};
     /// Pause after the first read. Until then other instances may begin to relay the records.
@@ -150,7 +154,9 @@
     void readNext()
     {
         if (mLoaded) {
-            read(mOptions.wait);
+            const bool isFollowUp
+                = mHasNewRecords && mOptions.followUpWait > core::duration::zero();
+            read(isFollowUp ? std::min(mOptions.wait, mOptions.followUpWait) : mOptions.wait);
             return;
         }
         const std::uint64_t number = beginRead();
@@ -234,6 +240,7 @@
         std::vector<record> newRecords;
         std::ranges::copy_if(inResult.records, std::back_inserter(newRecords),
                              [this](const record &inRecord) { return inRecord.offset >= mOffset; });
+        mHasNewRecords = !newRecords.empty();
         if (!newRecords.empty())
             mOffset = newRecords.back().offset + 1;
         deliver(std::move(newRecords), false, mStartedAt, from);
@@ -264,6 +271,8 @@
     bool mLoaded = false;
     bool mHasRead = false;
     bool mFailed = false;
+    /// Whether the last read returned records.
+    bool mHasNewRecords = false;
     /// Number of the last started read; answers to earlier reads are ignored.
     std::uint64_t mReadNumber = 0;
     std::uint64_t mOffset = 0;
--- a/tests/unit/catalog_mock_store.h
+++ b/tests/unit/catalog_mock_store.h
@@ -71,7 +71,10 @@
         // A read on a dead connection is never answered.
         if (silentTopics.erase(inTopic) > 0)
             return;
-        answer(std::move(inHandler), std::move(result));
+        // The read waits, and later records do not end the wait.
+        const bool waits = sleepyTopics.contains(inTopic) && result.records.empty()
+            && inWait > core::duration::zero();
+        answer(std::move(inHandler), std::move(result), waits ? inWait : answerTime);
     }
 
     void append(const std::string &inTopic, const std::vector<store::record> &inRecords,
@@ -100,6 +103,7 @@
     bool unavailable = false;
     core::duration answerTime = 2ms;
     std::set<std::string> silentTopics;
+    std::set<std::string> sleepyTopics;
     int newestReads = 0;
     /// Wait times of the received reads by topic.
     std::map<std::string, std::vector<core::duration>> waits;
@@ -112,11 +116,16 @@
     }
 
     void answer(read_handler inHandler, store::read_result inResult)
+    {
+        answer(std::move(inHandler), std::move(inResult), answerTime);
+    }
+
+    void answer(read_handler inHandler, store::read_result inResult, core::duration inTime)
     {
         mTimers.push_back(std::make_unique<kernel::timer>(
             mLoop,
             [handler = std::move(inHandler), result = std::move(inResult)] { handler(result); }));
-        mTimers.back()->startOnce(answerTime);
+        mTimers.back()->startOnce(inTime);
     }
 
     kernel::event_loop &mLoop;
--- a/tests/unit/catalog_service_test.cpp
+++ b/tests/unit/catalog_service_test.cpp
@@ -234,6 +234,29 @@
     CHECK(fixture.events == std::vector<std::string>{"ready e1", "removed e1"});
 }
 
+// Failure: a configuration that is appended just after another record comes into force only when
+// the next read has waited its full time, since the store did not end the wait.
+TEST_CASE("a record that follows another one at once is read soon")
+{
+    catalog_fixture fixture;
+    const std::string topic = platform::cOperatorTopic;
+    fixture.store->put(topic, "config", configuration(7));
+    fixture.registry.startAll();
+    fixture.run(30ms);
+    fixture.store->put(topic, "config", configuration(8));
+    // The read that returns the record.
+    fixture.run(500ms);
+    fixture.store->sleepyTopics = {topic};
+    fixture.store->put(topic, "version/m.a", R"({"model":"m","adapter":"a","version":2})");
+    fixture.run(20ms);
+    fixture.store->put(topic, "config", configuration(9));
+    fixture.run(600ms);
+    CHECK(fixture.versions.back() == 9);
+    // Later reads wait long again.
+    fixture.run(500ms);
+    CHECK(fixture.store->waits[topic].back() > 1s);
+}
+
 TEST_CASE("a poll of the fleet topic does not wait at the store, and the wait can be changed")
 {
     catalog_fixture fixture;
