Forget the arrival of an adapter whose unload is ordered

Cause, from the orders in the log: the engine held nine adapters, a2641 was unloaded at 16.887 s for another one, and version 2 of it, named at 17.017 s, was loaded without a slot. A report lags by some hundred ms: one that still listed a2641 as arriving, read while it was resident, noted a second arrival, which outlived the unload and made the adapter resident again when its time had come.

The new case of orders_engine_keeper_test failed before: the adapter is resident after its unload, and the next order is a load.

--- a/corneltally/orders/engine_controller.cpp
+++ b/corneltally/orders/engine_controller.cpp
@@ -141,6 +141,8 @@
     } else if (!order->adapter.empty()) {
         mSlots.unloadStarted(key);
         mVersions.erase(key);
+        // Its load may have ended before the estimated time.
+        mArriving.erase(key);
     }
     ++mRevision;
     mInFlight = in_flight_order{.order = *order, .sent = true};
--- a/tests/unit/orders_engine_keeper_test.cpp
+++ b/tests/unit/orders_engine_keeper_test.cpp
@@ -121,6 +121,42 @@
     CHECK((!order || order->kind == engine_order::operation::unload));
 }
 
+// Failure: a lagging report lists a resident adapter as arriving. It is unloaded, and counts as
+// resident again when the load of the report would have ended. A new version of it is then loaded
+// without a slot, and the engine crashes.
+TEST_CASE("an adapter that a lagging report lists as arriving does not come back once unloaded")
+{
+    controlled_engine engine;
+    engine.load("a1");
+    engine.load("a2");
+    engine.now += 300ms;
+    engine.next();
+    REQUIRE(engine.controller.adapters().resident.size() == 2);
+    engine.now += 150ms;
+    engine.report({}, {{"a1", 1}, {"a2", 1}});
+    engine.ask("a3");
+    std::optional<engine_order> order;
+    for (int step = 0; step < 10 && !order; ++step) {
+        engine.now += 10ms;
+        order = engine.next();
+    }
+    REQUIRE(order);
+    REQUIRE(order->kind == engine_order::operation::unload);
+    const std::string unloaded = order->adapter;
+    engine.end(*order, order_outcome::holds);
+    order = engine.next();
+    REQUIRE(order);
+    REQUIRE(order->adapter == "a3");
+    engine.end(*order, order_outcome::accepted);
+    engine.now += 200ms;
+    engine.controller.advance(engine.now);
+    CHECK_FALSE(engine.controller.adapters().resident.contains("base/" + unloaded));
+    engine.controller.versionNamed("base/" + unloaded, 2, engine.now);
+    engine.ask(unloaded);
+    order = engine.next();
+    CHECK((!order || order->kind == engine_order::operation::unload));
+}
+
 TEST_CASE("an adapter in use is not unloaded")
 {
     controlled_engine engine;
