Test leaving, pauses and deadly parts through real processes

The stand-in endpoint can say that it leaves in its answers only, ask for pauses, and, as an engine, exit when it begins to answer a prompt with a certain part. Three cases: an endpoint that leaves by its answers alone for 3 s and then starts again; pauses of 0.4, 2 and 30 s under load; a deadly part at three instances of two failure domains and four engines.

--- a/standins/site_endpoint.cpp
+++ b/standins/site_endpoint.cpp
@@ -24,6 +24,8 @@
 
 /// An order that is carried out late takes effect after this time.
 constexpr core::duration cLateOrder = std::chrono::milliseconds(700);
+/// Exit code of an engine that a deadly part ends.
+constexpr int cDeadlyExit = 3;
 /// Value of a fault that is switched on until it is switched off.
 constexpr long long cAlways = -1;
 
@@ -57,6 +59,7 @@
     bool loses = false;
     bool fails = false;
     bool cuts = false;
+    bool isDeadly = false;
     long long event = 0;
     bool done = false;
 };
@@ -160,17 +163,26 @@
     return true;
 }
 
-void site_endpoint::refuse(const exchange_pointer &inExchange, int inStatus, const char *inReason)
+/// Fields of all answers to a request.
+http::header_list site_endpoint::answerFields(const std::string &inRequest)
+{
+    http::header_list fields{{std::string(platform::cRequestIdField), inRequest}};
+    if (mFaults["say_leaving"] != 0)
+        fields.emplace_back(platform::cLeavingField, "1");
+    return fields;
+}
+
+void site_endpoint::refuse(const exchange_pointer &inExchange, int inStatus, const char *inReason,
+                           const http::header_list &inMore)
 {
     mHost.facts().write("refused",
                         {{"request", field(*inExchange, platform::cRequestIdField)},
                          {"status", inStatus},
                          {"reason", inReason}});
-    inExchange->reply(
-        inStatus,
-        {{std::string(platform::cNotExecutedField), "1"},
-         {std::string(platform::cRequestIdField), field(*inExchange, platform::cRequestIdField)}},
-        inReason);
+    http::header_list fields = answerFields(field(*inExchange, platform::cRequestIdField));
+    fields.emplace_back(platform::cNotExecutedField, "1");
+    fields.insert(fields.end(), inMore.begin(), inMore.end());
+    inExchange->reply(inStatus, fields, inReason);
 }
 
 bool site_endpoint::isRunning(const std::string &inAdapter) const
@@ -182,6 +194,12 @@
 void site_endpoint::request(const exchange_pointer &inExchange)
 {
     endRuns();
+    if (const long long pause = mFaults["pause_ms"]; pause > 0) {
+        refuse(inExchange, 503, "pause",
+               {{std::string(platform::cRetryAfterField),
+                 std::to_string(static_cast<double>(pause) / 1000)}});
+        return;
+    }
     if (takeFault("refuse")) {
         refuse(inExchange, 503, "full");
         return;
@@ -206,6 +224,9 @@
     started->loses = takeFault("lose");
     started->fails = takeFault("fail");
     started->cuts = takeFault("cut");
+    started->isDeadly
+        = field(*inExchange, platform::cPromptPrefixField).find(std::string(cDeadlyPart) + ":")
+        != std::string::npos;
     started->event = std::atoll(field(*inExchange, platform::cLastEventIdField).c_str());
     const std::string account = field(*inExchange, platform::cTenantField);
     mHost.facts().write(
@@ -217,6 +238,7 @@
          {"path", inExchange->path()},
          {"body", inExchange->body()},
          {"adapter", adapter},
+         {"deadly", started->isDeadly},
          {"version", adapter.empty() ? 0 : static_cast<long long>(mAdapters[adapter])},
          {"deadline", field(*inExchange, platform::cDeadlineField)},
          {"after_event", started->event}});
@@ -238,9 +260,10 @@
         ioRun.done = true;
         mHost.facts().write("run_ended", {{"request", ioRun.id}});
     };
-    const http::header_list fields{
-        {std::string(platform::cSealField), mHost.name() + "." + ioRun.id},
-        {std::string(platform::cRequestIdField), ioRun.id}};
+    if (ioRun.isDeadly)
+        std::_Exit(cDeadlyExit);
+    http::header_list fields = answerFields(ioRun.id);
+    fields.emplace_back(platform::cSealField, mHost.name() + "." + ioRun.id);
     if (ioRun.loses) {
         finish();
         ioRun.exchange->abort();
--- a/standins/site_endpoint.h
+++ b/standins/site_endpoint.h
@@ -41,8 +41,11 @@
 /// order and cancelled run is a line of the ledger.
 ///
 /// POST /control/faults {"refuse":n,"fail":n,"lose":n,"cut":n,"silent":bool,
-/// "late_orders":n,"leaving":bool}: the next n requests are refused, fail, run without an answer
-/// or are cut in the middle of the answer.
+/// "late_orders":n,"leaving":bool,"say_leaving":bool,"pause_ms":n}: the next n requests are
+/// refused, fail, run without an answer or are cut in the middle of the answer. With say_leaving
+/// only the answers say that the endpoint leaves; with pause_ms requests are refused, and the
+/// answers ask for a pause. An engine exits when it begins to answer a prompt with the part
+/// cDeadlyPart.
 class site_endpoint
 {
 public:
@@ -57,6 +60,10 @@
     using exchange_pointer = std::shared_ptr<corneltally::http::exchange>;
     struct run;
 
+public:
+    static constexpr const char *cDeadlyPart = "dead";
+
+private:
     void request(const exchange_pointer &inExchange);
     void order(const exchange_pointer &inExchange);
     /// Carries out an order and returns the answer's status.
@@ -67,7 +74,9 @@
     void heartbeat();
     void advance(run &ioRun);
     void endRuns();
-    void refuse(const exchange_pointer &inExchange, int inStatus, const char *inReason);
+    void refuse(const exchange_pointer &inExchange, int inStatus, const char *inReason,
+                const corneltally::http::header_list &inMore = {});
+    corneltally::http::header_list answerFields(const std::string &inRequest);
     bool isRunning(const std::string &inAdapter) const;
     /// Whether a fault that is set for a number of requests applies to this one.
     bool takeFault(const std::string &inName);
--- a/tests/integration/site_forwarding_test.cpp
+++ b/tests/integration/site_forwarding_test.cpp
@@ -36,6 +36,7 @@
     std::string id;
     std::string key = "key-harbour";
     std::string adapter;
+    std::string parts;
     int deadlineMs = 5000;
     std::string instance = "edge-1";
     std::chrono::milliseconds patience = 20s;
@@ -83,6 +84,9 @@
                                       std::string(site::cModel) + "/" + inRequest.adapter);
             call.headers.emplace_back(std::string(platform::cTokenCountField), "100,20");
         }
+        if (!inRequest.parts.empty())
+            call.headers.emplace_back(std::string(platform::cPromptPrefixField),
+                                      inRequest.parts + ",own:10");
         return call;
     }
 
@@ -503,6 +507,104 @@
         CHECK(run.at("process") == "app-2");
 }
 
+// Failure: an endpoint whose entry says ready, but whose answers say that it leaves, gets requests
+// until its entry changes.
+TEST_CASE("an endpoint that leaves by its answers alone gets nothing more until it starts again")
+{
+    site_fixture fixture({.proxied = true});
+    REQUIRE(fixture.fleet.setFaults("app-1", {{"say_leaving", true}}));
+    const auto runsAt = [&](const std::string &inEndpoint) {
+        return std::ranges::count_if(fixture.fleet.facts("run"), [&](const json &inRun) {
+            return inRun.at("process") == inEndpoint;
+        });
+    };
+    REQUIRE(site::waitFor([&] {
+        fixture.call();
+        return runsAt("app-1") > 0;
+    }));
+    const auto before = runsAt("app-1");
+    const auto until = std::chrono::steady_clock::now() + 3s;
+    int served = 0;
+    while (std::chrono::steady_clock::now() < until)
+        served += fixture.call().status == 200 ? 1 : 0;
+    CHECK(served > 0);
+    CHECK(runsAt("app-1") == before);
+    // A new start of the same endpoint is used again.
+    REQUIRE(fixture.fleet.restart("app-1"));
+    CHECK(site::waitFor([&] {
+        fixture.call();
+        return runsAt("app-1") > before;
+    }));
+}
+
+// Failure: endpoints that ask for a pause get requests during it, and callers are not told when
+// the endpoints come back.
+TEST_CASE("endpoints that ask for a pause get nothing for that time")
+{
+    const int pauseMs = GENERATE(400, 2000, 30'000);
+    CAPTURE(pauseMs);
+    site_fixture fixture({.instances = 1});
+    fixture.faultOnAll("app-", {{"pause_ms", pauseMs}});
+    const auto refusals = [&] { return std::ssize(fixture.fleet.facts("refused")); };
+    const http::response first = fixture.call();
+    CHECK(first.status == 503);
+    CHECK(std::stod(std::string(http::findHeader(first.headers, "Retry-After"))) * 1000
+          >= pauseMs * 0.8);
+    CHECK(refusals() == 2);
+    const auto watched = std::min(pauseMs * 3 / 4, 2000);
+    const auto until = std::chrono::steady_clock::now() + std::chrono::milliseconds(watched);
+    int refused = 0;
+    while (std::chrono::steady_clock::now() < until)
+        refused += fixture.call().status == 503 ? 1 : 0;
+    CHECK(refused > 10);
+    CHECK(refusals() == 2);
+    if (pauseMs > watched * 2)
+        return;
+    fixture.faultOnAll("app-", {{"pause_ms", 0}});
+    CHECK(site::waitFor([&] { return fixture.call().status == 200; }, 5s));
+}
+
+// Failure: requests with a part that ends engines are sent to one engine after another, by
+// instances of different failure domains.
+TEST_CASE("a part that ends engines reaches only a few of them, and sound prompts are served")
+{
+    site_fixture fixture({.instances = 3, .engines = 4, .proxied = true});
+    const auto deadlyRuns = [&] {
+        return std::ranges::count_if(fixture.fleet.facts("run"),
+                                     [](const json &inRun) { return inRun.at("deadly"); });
+    };
+    const auto restartEngines = [&] {
+        for (const std::string &name : fixture.fleet.names("engine-")) {
+            if (!fixture.fleet.process(name).isRunning())
+                REQUIRE(fixture.fleet.restart(name));
+        }
+    };
+    int served = 0;
+    constexpr int cRounds = 16;
+    for (int round = 0; round < cRounds; ++round) {
+        const std::string instance = "edge-" + std::to_string(1 + round % 3);
+        fixture.call({.path = "/chat/1",
+                      .adapter = "a1",
+                      .parts = "common:40,dead:40",
+                      .deadlineMs = 1500,
+                      .instance = instance});
+        restartEngines();
+        served += fixture
+                      .call({.path = "/chat/1",
+                             .adapter = "a1",
+                             .parts = "common:40",
+                             .instance = instance})
+                      .status
+                == 200
+            ? 1
+            : 0;
+        std::this_thread::sleep_for(200ms);
+    }
+    CHECK(deadlyRuns() >= 1);
+    CHECK(deadlyRuns() <= 5 + 3);
+    CHECK(served >= cRounds / 2);
+}
+
 TEST_CASE(
     "engines of an instance that was killed or paused get another holder, with a higher fence")
 {
