--- a/corneltally/engines/endpoint_condition.h
+++ b/corneltally/engines/endpoint_condition.h
@@ -10,24 +10,30 @@
 class endpoint_condition
 {
 public:
-    /// A longer pause counts as this. Then a request tests whether the endpoint still wants it, so
-    /// that a faulty one can't take itself out of service with one answer.
+    /// During a longer pause one request each so often tests whether the endpoint still wants it,
+    /// so that a faulty one can't take itself out of service for hours with one answer.
     static constexpr core::duration sMaxPause = std::chrono::minutes(5);
 
-    /// Returns whether the condition changed.
+    /// Applies the notice in an answer, also an empty one. Returns whether the condition changed.
     bool apply(const endpoint_notice &inNotice, core::time_point inNow);
 
+    /// Records that a request was sent. During a pause it is the test; its answer decides.
+    void requestSent(core::time_point inNow);
+
     bool isLeaving() const { return mIsLeaving; }
     bool isPaused(core::time_point inNow) const { return inNow < mPausedUntil; }
     bool takesRequests(core::time_point inNow) const { return !mIsLeaving && !isPaused(inNow); }
     core::time_point pausedUntil() const { return mPausedUntil; }
 
-    /// Returns true once after each pause, with its length.
+    /// Returns the length of each pause once after its end.
     std::optional<core::duration> takeEndedPause(core::time_point inNow);
 
 private:
     bool mIsLeaving = false;
+    /// When requests may be sent again, and the end of the pause that the endpoint asked for.
     core::time_point mPausedUntil;
+    core::time_point mAskedUntil;
+    bool mIsTested = false;
     /// Start of the current or last pause until its end was reported.
     std::optional<core::time_point> mPausedSince;
 };
--- a/corneltally/forwarding/forwarded_request.cpp
+++ b/corneltally/forwarding/forwarded_request.cpp
@@ -314,6 +314,7 @@
 void forwarded_request::countLoad()
 {
     engines::endpoint &target = *mContext.endpoints.find(mChoice.endpoint);
+    target.condition.requestSent(core::boot_clock::now());
     mMemoryTokens = mWork.promptTokens + mWork.answerTokens;
     ++target.own.requests;
     target.own.promptTokens += mWork.promptTokens;
--- a/tests/unit/engines_endpoint_condition_test.cpp
+++ b/tests/unit/engines_endpoint_condition_test.cpp
@@ -46,14 +46,35 @@
 }
 
 // Failure: a faulty endpoint takes itself out of service for hours with one answer.
-TEST_CASE("a pause is bounded, and none is none")
+TEST_CASE("a long pause is tested by one request at a time, and none is none")
 {
+    constexpr core::duration cBound = engines::endpoint_condition::sMaxPause;
     engines::endpoint_condition condition;
     CHECK_FALSE(condition.apply({.pause = 0s}, cStart));
     CHECK(condition.takesRequests(cStart));
     condition.apply({.pause = 24h}, cStart);
-    CHECK_FALSE(condition.takesRequests(cStart + engines::endpoint_condition::sMaxPause - 1ms));
-    CHECK(condition.takesRequests(cStart + engines::endpoint_condition::sMaxPause));
+    CHECK_FALSE(condition.takesRequests(cStart + cBound - 1ms));
+    core::time_point now = cStart + cBound;
+    REQUIRE(condition.takesRequests(now));
+    condition.requestSent(now);
+    CHECK_FALSE(condition.takesRequests(now));
+    // The endpoint still wants the pause.
+    condition.apply({.pause = 24h}, now);
+    CHECK_FALSE(condition.takesRequests(now + cBound - 1ms));
+    now += cBound;
+    REQUIRE(condition.takesRequests(now));
+    condition.requestSent(now);
+    // It does not want it any more.
+    CHECK(condition.apply({}, now + 1s));
+    CHECK(condition.takesRequests(now + 1s));
+}
+
+TEST_CASE("answers to requests from before a pause do not end it")
+{
+    engines::endpoint_condition condition;
+    condition.apply({.pause = 10s}, cStart);
+    CHECK_FALSE(condition.apply({}, cStart + 1s));
+    CHECK_FALSE(condition.takesRequests(cStart + 1s));
 }
 
 // Failure: an older entry, a lapse or a rebuilt table undoes what an endpoint said.
