--- a/tests/unit/platform_codec_test.cpp
+++ b/tests/unit/platform_codec_test.cpp
@@ -115,9 +115,9 @@
     "an entry that is deeply nested or has numbers out of range names no endpoint or is bounded")
 {
     const auto entryWith = [](const std::string &inAddress, const std::string &inMore) {
-        return platform::decodeEndpoint("i-1",
-                                        R"({"service":"lm","address":")" + inAddress
-                                            + R"(","zone":"z","state":"ready")" + inMore + "}");
+        std::string text = R"({"service":"lm","zone":"z","state":"ready","address":")";
+        return platform::decodeEndpoint(
+            "i-1", text.append(inAddress).append("\"").append(inMore).append("}"));
     };
     REQUIRE(entryWith("10.0.0.9:8080", ""));
     for (const char *port : {"0", "65536", "99999", "-1", "4294967297", "8080x", ""})
@@ -128,10 +128,10 @@
     CHECK(entryWith("10.0.0.9:8080", R"(,"models":)" + deep + closed));
     for (const char *number : {"1e300", "-1e300", "99999999999999999999999999", "1e999", "-5"}) {
         INFO(number);
-        const std::string text(number);
-        const auto entry = entryWith("10.0.0.9:8080",
-                                     R"(,"capacity":)" + text + R"(,"sequence":)" + text
-                                         + R"(,"born":)" + text + R"(,"remaining-ms":)" + text);
+        std::string fields;
+        for (const char *name : {"capacity", "sequence", "born", "remaining-ms"})
+            fields.append(",\"").append(name).append("\":").append(number);
+        const auto entry = entryWith("10.0.0.9:8080", fields);
         if (!entry)
             continue;
         CHECK(entry->capacity >= 0);
@@ -148,11 +148,14 @@
     for (const char *number : {"nan", "inf", "-inf", "-100", "1e300", "1e999", "x"}) {
         INFO(number);
         const std::string text(number);
+        std::string both = text;
+        std::string parts = "a:";
         const auto terms = platform::decodeRequest(
-            {.fields = {{std::string(platform::cTokenCountField), text + "," + text},
-                        {std::string(platform::cLengthHintField), text},
-                        {std::string(platform::cDeadlineField), text},
-                        {std::string(platform::cPromptPrefixField), "a:" + text + ",b:10"}}});
+            {.fields
+             = {{std::string(platform::cTokenCountField), both.append(",").append(text)},
+                {std::string(platform::cLengthHintField), text},
+                {std::string(platform::cDeadlineField), text},
+                {std::string(platform::cPromptPrefixField), parts.append(text).append(",b:10")}}});
         for (const double tokens : {terms.promptTokens.value_or(0), terms.answerTokens,
                                     terms.expectedTokens, terms.parts[0].tokens}) {
             CHECK(tokens >= 0);
--- a/tests/unit/quarantine_part_quarantine_test.cpp
+++ b/tests/unit/quarantine_part_quarantine_test.cpp
@@ -18,6 +18,7 @@
 std::vector<shared_part> partsOf(const std::vector<std::string> &inIds)
 {
     std::vector<shared_part> parts;
+    parts.reserve(inIds.size());
     for (const std::string &id : inIds)
         parts.emplace_back(id, parts.empty() ? 0 : parts.back().digest);
     return parts;
@@ -266,9 +267,11 @@
 {
     quarantine_fixture fixture;
     const quarantine_options options;
+    constexpr std::size_t cParts = 100;
     for (int loss = 0; loss < 100; ++loss) {
         std::vector<std::string> ids;
-        for (int part = 0; part < 100; ++part)
+        ids.reserve(cParts);
+        for (std::size_t part = 0; part < cParts; ++part)
             ids.push_back(std::to_string(loss) + "/" + std::to_string(part));
         fixture.lose({ids});
         fixture.advance(100ms);
--- a/tests/unit/quarantine_simulation_test.cpp
+++ b/tests/unit/quarantine_simulation_test.cpp
@@ -151,6 +151,7 @@
     static std::vector<shared_part> chain(const std::vector<std::string> &inIds)
     {
         std::vector<shared_part> parts;
+        parts.reserve(inIds.size());
         for (const std::string &id : inIds)
             parts.emplace_back(id, parts.empty() ? 0 : parts.back().digest);
         return parts;
