Let the loss of an endpoint be disproved by its own answers only

A request that had begun at one endpoint and broke off at another counted as an answer of the other one, which could disprove an earlier loss of it. Losses without parts are no longer reported. Comments of the quarantine say what its members hold.

--- a/corneltally/engines/endpoint_condition.h
+++ b/corneltally/engines/endpoint_condition.h
@@ -33,6 +33,7 @@
     /// When requests may be sent again, and the end of the pause that the endpoint asked for.
     core::time_point mPausedUntil;
     core::time_point mAskedUntil;
+    /// Whether a request was sent as a test and not yet answered.
     bool mIsTested = false;
     /// Start of the current or last pause until its end was reported.
     std::optional<core::time_point> mPausedSince;
--- a/corneltally/forwarding/forwarded_request.cpp
+++ b/corneltally/forwarding/forwarded_request.cpp
@@ -437,7 +437,7 @@
 {
     const core::time_point now = core::boot_clock::now();
     if (mPartsProved || (mFirstByteAt && mSendCount == 1 && now - *mFirstByteAt >= cPartProofTime))
-        partsProved();
+        mContext.quarantine.partsAnswered(mSharedParts, now);
     else
         mContext.quarantine.endpointLost(engines::startDigest(mChoice.endpoint, mEndpointStart),
                                          mSharedParts, now);
--- a/corneltally/quarantine/part_quarantine.cpp
+++ b/corneltally/quarantine/part_quarantine.cpp
@@ -40,6 +40,8 @@
 void part_quarantine::endpointLost(start_digest inStart, const std::vector<shared_part> &inParts,
                                    core::time_point inNow)
 {
+    if (inParts.empty())
+        return;
     // An instance that sees the loss later than another one keeps the earlier time.
     const auto known = mLostStarts.find(inStart);
     const core::time_point at = known == mLostStarts.end() ? inNow : known->second;
@@ -57,6 +59,11 @@
                                core::time_point inSentAt, core::time_point inNow)
 {
     addAnswer(inStart, inSentAt, inNow);
+    partsAnswered(inParts, inNow);
+}
+
+void part_quarantine::partsAnswered(const std::vector<shared_part> &inParts, core::time_point inNow)
+{
     for (const shared_part &part : inParts) {
         addAnswer(part.digest, inNow, inNow);
         mProbes.erase(part.digest);
--- a/corneltally/quarantine/part_quarantine.h
+++ b/corneltally/quarantine/part_quarantine.h
@@ -75,14 +75,18 @@
     /// Sets the live instances, among which the one that probes a part is chosen.
     void setLive(std::set<std::string> inLive) { mLive = std::move(inLive); }
 
-    /// Records that an endpoint closed the connection of a request.
+    /// Records that an endpoint ended the connection of a request which it may have crashed on.
     void endpointLost(start_digest inStart, const std::vector<shared_part> &inParts,
                       core::time_point inNow);
 
-    /// Records the complete answer to a request.
+    /// Records an answer that shows that a request did not crash the endpoint: a complete one, or
+    /// events for some time after the first.
     void answered(start_digest inStart, const std::vector<shared_part> &inParts,
                   core::time_point inSentAt, core::time_point inNow);
 
+    /// The same for a request whose endpoint was lost later.
+    void partsAnswered(const std::vector<shared_part> &inParts, core::time_point inNow);
+
     /// Adds what another instance or failure domain reported.
     void applyPeer(const quarantine_state &inState, core::time_point inNow);
 
@@ -115,6 +119,11 @@
         part_digest parent = 0;
         std::vector<loss> losses;
     };
+    struct disproof
+    {
+        core::time_point answeredAt;
+        core::time_point notedAt;
+    };
     struct evidence
     {
         /// Losses that no part in quarantine explains, and how many of them are apart in time.
@@ -152,14 +161,11 @@
     std::unordered_map<start_digest, core::time_point> mLostStarts;
     /// Starts of endpoints whose loss a part in quarantine explains.
     std::unordered_set<start_digest> mExplained;
+    /// Last answers by the digests of parts and of starts of endpoints.
     std::unordered_map<std::uint64_t, core::time_point> mAnswers;
     /// Answers that disproved losses, which are still reported to other instances.
-    struct disproof
-    {
-        core::time_point answeredAt;
-        core::time_point notedAt;
-    };
     std::unordered_map<std::uint64_t, disproof> mDisproofs;
+    /// Parts in quarantine, and those that were cleared lately.
     std::map<part_digest, quarantined_part> mParts;
     /// Running probes, with the times of their starts.
     std::unordered_map<part_digest, core::time_point> mProbes;
--- a/tests/unit/quarantine_part_quarantine_test.cpp
+++ b/tests/unit/quarantine_part_quarantine_test.cpp
@@ -187,6 +187,20 @@
     CHECK(fixture.admit({"part"}) == admission::refused);
 }
 
+// Failure: a request that one endpoint had begun to answer, and that broke off at a second one,
+// counts as an answer of the second one, whose loss then accuses no part.
+TEST_CASE("an answer from before a loss does not disprove the loss itself")
+{
+    quarantine_fixture fixture;
+    for (int loss = 0; loss < 3; ++loss) {
+        fixture.lose({{"dead"}});
+        fixture.quarantine.partsAnswered(partsOf({"sound"}), fixture.now);
+        fixture.advance(500ms);
+    }
+    CHECK(fixture.admit({"dead"}) == admission::refused);
+    CHECK(fixture.admit({"sound"}) == admission::allowed);
+}
+
 TEST_CASE("one instance at a time probes a part after its hold, and an answer frees it everywhere")
 {
     quarantine_fixture first;
