--- a/review/common.sh
+++ b/review/common.sh
@@ -156,7 +156,7 @@
     {"name":"chat","path-prefix":"/chat/","kind":"streaming","service":"models",
       "timeout-ms":'${2:-$1}','$common'}],
     "services":[{"name":"app"},{"name":"models","engine":{"capacity":64,"kv-capacity":242992,
-      "weights-mb":66500,"adapter-slots":9,"models":[{"name":"base","weights-mb":65100,
+      "weights-mb":66500,"adapter-slots":'${adapter_slots:-9}',"models":[{"name":"base","weights-mb":65100,
       "adapters":3000,"adapter-mb":12}]}}],
     "tenants":[{"name":"harbour","api-keys":["key-harbour"]},
       {"name":"island","api-keys":["key-island"]}],
