--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
 # Two of the three instances of a zone are stopped by SIGTERM at the same time, while clients place
-# orders on new connections. See claim.txt.
+# orders on new connections. See claim.txt. With TROUBLE=0 none is stopped.
+trouble=${TROUBLE:-1}
 source "$(dirname "$0")/../common.sh"
 
 work_ms=2000
--- a/review/common.sh
+++ b/review/common.sh
@@ -13,7 +13,8 @@
 work=$(mktemp -d)
 started=()
 declare -A pid_of port_of
-trouble=${TROUBLE:-1}
+# Each run.sh sets trouble from TROUBLE before it sources this file.
+: "${trouble:?}"
 host=shop.example
 # The smallest memory of a machine of strengvegur-taug (SYSTEM.md).
 memory_limit_mb=520
