End a quarantine whose losses are refuted by an answer that arrives late

Cause: the settle time runs from the first loss, so an instance may decide on a third loss that is a fraction of a second old.

Change: an instance remembers the first of the losses on which it decided. If it learns of a later answer that leaves fewer than maxLosses losses, it ends its quarantine, and the others learn that with its report. Quarantines learned from others are ended by the one that decided.

--- a/corneltally/quarantine/part_quarantine.cpp
+++ b/corneltally/quarantine/part_quarantine.cpp
@@ -293,6 +293,9 @@
     state = {.round = state.round + 1,
              .since = inNow,
              .until = inNow + std::min(hold, mOptions.maxHold)};
+    mDecisions.erase(inPart);
+    if (inEvidence.withRequests.all > 0)
+        mDecisions[inPart] = {.round = state.round, .firstLoss = inEvidence.withRequests.first};
     addChange(part_change::kind::quarantined, inPart, inEvidence, inNow);
 }
 
@@ -323,7 +326,9 @@
 {
     for (const auto &[part, state] : mParts) {
         const auto answer = mAnswers.find(part);
-        if (!state.cleared && answer != mAnswers.end() && answer->second > state.since)
+        if (state.cleared || answer == mAnswers.end())
+            continue;
+        if (answer->second > state.since || isDecisionRefuted(part, state))
             clear(part, inNow);
     }
     decide(inNow);
@@ -405,6 +410,20 @@
     return deepest;
 }
 
+/// Whether an answer from before a quarantine, learned of after it, leaves too few of the losses on
+/// which this instance decided. The losses and answers that other instances see arrive one by one,
+/// so the settle time after the first loss may be over before the answers since are known.
+bool part_quarantine::isDecisionRefuted(part_digest inPart, const quarantined_part &inState) const
+{
+    const auto decided = mDecisions.find(inPart);
+    const auto answer = mAnswers.find(inPart);
+    if (decided == mDecisions.end() || decided->second.round != inState.round
+        || answer == mAnswers.end() || answer->second <= decided->second.firstLoss)
+        return false;
+    const auto suspect = mCandidates.find(inPart);
+    return suspect == mCandidates.end() || std::ssize(suspect->second.losses) < mOptions.maxLosses;
+}
+
 /// Collects the losses that quarantines explain.
 void part_quarantine::findExplained()
 {
@@ -457,6 +476,8 @@
     std::erase_if(mParts, [&](const auto &inEntry) {
         return inNow > inEntry.second.until + mOptions.retention;
     });
+    std::erase_if(mDecisions,
+                  [&](const auto &inEntry) { return findQuarantine(inEntry.first) == nullptr; });
     for (auto &[part, entry] : mCandidates)
         std::erase_if(entry.losses,
                       [&](const loss &inLoss) { return inNow - inLoss.at > mOptions.retention; });
--- a/corneltally/quarantine/part_quarantine.h
+++ b/corneltally/quarantine/part_quarantine.h
@@ -55,7 +55,8 @@
 /// is quarantined, or the one that follows it in its prompts if that has been lost as often: it
 /// refuses fewer requests. Its losses are then explained and count against no other part; if it was
 /// not the cause, further losses follow and show the one that was. A loss does not count if the
-/// same start of the endpoint answers later: then only a connection broke.
+/// same start of the endpoint answers later: then only a connection broke. The instance that
+/// decided on a quarantine ends it if it learns of an answer that leaves too few of the losses.
 ///
 /// A whole request is the last link of its chain of parts, so it is quarantined in place of its
 /// parts if it was lost as often as they were. Since this refuses nothing but its repeats, all
@@ -159,6 +160,12 @@
         std::unordered_set<start_digest> byRequests;
         std::unordered_map<part_digest, std::unordered_set<start_digest>> byRequestsWith;
     };
+    /// A quarantine that this instance decided on losses.
+    struct decision
+    {
+        std::uint32_t round = 0;
+        core::time_point firstLoss;
+    };
 
     candidate *addLoss(start_digest inStart, part_digest inPart, part_digest inParent,
                        core::time_point inAt, core::time_point inNow);
@@ -175,6 +182,7 @@
     std::optional<part_digest> mostSuspect(core::time_point inNow) const;
     std::vector<part_digest> suspectRequests(core::time_point inNow) const;
     part_digest deepestSuspect(part_digest inPart, core::time_point inNow) const;
+    bool isDecisionRefuted(part_digest inPart, const quarantined_part &inState) const;
     void findExplained();
     void clearSubsumed(part_digest inPart, core::time_point inNow);
     void quarantine(part_digest inPart, const evidence &inEvidence, core::time_point inNow);
@@ -196,6 +204,8 @@
     std::unordered_map<std::uint64_t, disproof> mDisproofs;
     /// Parts in quarantine, and those that were cleared lately.
     std::map<part_digest, quarantined_part> mParts;
+    /// Own decisions behind quarantines, as long as these last.
+    std::unordered_map<part_digest, decision> mDecisions;
     /// Running probes, with the times of their starts.
     std::unordered_map<part_digest, core::time_point> mProbes;
     /// Parts whose probes lost an endpoint since the last update.
--- a/tests/unit/quarantine_part_quarantine_test.cpp
+++ b/tests/unit/quarantine_part_quarantine_test.cpp
@@ -276,6 +276,51 @@
     CHECK(fixture.quarantine.candidates() == 0);
 }
 
+// Failure: a sound part stays refused since the answer to another instance, between its losses,
+// became known only after the decision.
+TEST_CASE("an answer from before the decision that arrives after it ends the quarantine")
+{
+    quarantine_fixture fixture;
+    const auto lose = [&] {
+        fixture.lose({{"sound"}});
+        fixture.advance(500ms);
+    };
+    lose();
+    lose();
+    const core::time_point answeredAt = fixture.now - 100ms;
+    lose();
+    REQUIRE(fixture.admit({"sound"}) == admission::refused);
+    part_quarantine second("b");
+    second.applyPeer(fixture.quarantine.report(), fixture.now);
+    REQUIRE(second.admit(partsOf({"sound"}), fixture.now) == admission::refused);
+    fixture.quarantine.applyPeer(
+        {.losses = {}, .answers = {{partsOf({"sound"}).front().digest, answeredAt}}, .parts = {}},
+        fixture.now);
+    fixture.advance(200ms);
+    CHECK(fixture.admit({"sound"}) == admission::allowed);
+    second.applyPeer(fixture.quarantine.report(), fixture.now);
+    CHECK(second.admit(partsOf({"sound"}), fixture.now) == admission::allowed);
+}
+
+// Failure: an answer before most of the losses frees a part that has been lost often enough since.
+TEST_CASE("an answer that leaves enough losses does not end the quarantine")
+{
+    quarantine_fixture fixture;
+    fixture.lose({{"part"}});
+    fixture.advance(500ms);
+    const core::time_point answeredAt = fixture.now - 100ms;
+    for (int loss = 0; loss < 3; ++loss) {
+        fixture.lose({{"part"}});
+        fixture.advance(500ms);
+    }
+    REQUIRE(fixture.admit({"part"}) == admission::refused);
+    fixture.quarantine.applyPeer(
+        {.losses = {}, .answers = {{partsOf({"part"}).front().digest, answeredAt}}, .parts = {}},
+        fixture.now);
+    fixture.advance(200ms);
+    CHECK(fixture.admit({"part"}) == admission::refused);
+}
+
 // Failure: callers that make up parts fill the memory of the instance.
 TEST_CASE("the number of remembered parts is limited")
 {
