Do not repeat a request with a part about to be quarantined

Cause: an instance sends a request again at once when its endpoint is lost, but a decision on a part follows only with the next update. For whole requests admit() has such a check, for parts it had none.

Change: admit() refuses a repeat with the part that the next update would put in quarantine. First sends are decided as before. The refusal has the reason of a part in quarantine.

--- a/corneltally/quarantine/part_quarantine.cpp
+++ b/corneltally/quarantine/part_quarantine.cpp
@@ -261,7 +261,25 @@
             return isWhole ? admission::request_refused : admission::refused;
         result = admission::probe;
     }
-    return result;
+    return inIsRepeat && result == admission::allowed && isNextSuspect(inParts, inNow)
+        ? admission::refused
+        : result;
+}
+
+/// Whether the next update would put one of these parts in quarantine.
+bool part_quarantine::isNextSuspect(const std::vector<shared_part> &inParts,
+                                    core::time_point inNow) const
+{
+    const auto hasEvidence = [&](const shared_part &inPart) {
+        const auto suspect = mCandidates.find(inPart.digest);
+        return suspect != mCandidates.end()
+            && isEnough(inPart.digest, weigh(inPart.digest, suspect->second), inNow);
+    };
+    // Most requests have no suspected part, which spares the search among all candidates.
+    if (std::ranges::none_of(inParts, hasEvidence))
+        return false;
+    const std::optional<part_digest> suspect = mostSuspect(inNow);
+    return suspect && std::ranges::find(inParts, *suspect, &shared_part::digest) != inParts.end();
 }
 
 void part_quarantine::probeStarted(const std::vector<shared_part> &inParts, core::time_point inNow)
--- a/corneltally/quarantine/part_quarantine.h
+++ b/corneltally/quarantine/part_quarantine.h
@@ -98,7 +98,8 @@
     /// Adds what another instance or failure domain reported.
     void applyPeer(const quarantine_state &inState, core::time_point inNow);
 
-    /// An instance does not repeat a request by itself that would be refused after one more loss.
+    /// An instance does not repeat a request by itself that would be refused after one more loss,
+    /// nor one with a part that the next update puts in quarantine.
     admission admit(const std::vector<shared_part> &inParts, core::time_point inNow,
                     bool inIsRepeat = false) const;
     void probeStarted(const std::vector<shared_part> &inParts, core::time_point inNow);
@@ -178,6 +179,7 @@
     bool isAmbiguous(part_digest inPart) const;
     bool mayProbe(part_digest inPart, const quarantined_part &inState,
                   core::time_point inNow) const;
+    bool isNextSuspect(const std::vector<shared_part> &inParts, core::time_point inNow) const;
     void decide(core::time_point inNow);
     std::optional<part_digest> mostSuspect(core::time_point inNow) const;
     std::vector<part_digest> suspectRequests(core::time_point inNow) const;
--- a/tests/unit/quarantine_part_quarantine_test.cpp
+++ b/tests/unit/quarantine_part_quarantine_test.cpp
@@ -321,6 +321,39 @@
     CHECK(fixture.admit({"part"}) == admission::refused);
 }
 
+// Failure: the request under which the last of enough endpoints was lost is sent to one more, since
+// the decision follows only with the next update.
+TEST_CASE("a request with a part that the next update quarantines is not repeated")
+{
+    quarantine_fixture fixture;
+    const auto mayRepeat = [&](const std::vector<std::string> &inIds) {
+        return fixture.quarantine.admit(partsOf(inIds), fixture.now, true) == admission::allowed;
+    };
+    for (int loss = 0; loss < 2; ++loss) {
+        fixture.lose({{"common", "dead"}, {"common", "sound"}});
+        CHECK(mayRepeat({"common", "dead"}));
+        fixture.advance(500ms);
+    }
+    fixture.lose({{"common", "dead"}});
+    CHECK_FALSE(mayRepeat({"common", "dead"}));
+    CHECK(mayRepeat({"common", "sound"}));
+    CHECK(mayRepeat({"common"}));
+    CHECK(fixture.admit({"common", "dead"}) == admission::allowed);
+    fixture.advance(200ms);
+    CHECK(fixture.admit({"common", "dead"}) == admission::refused);
+}
+
+// Failure: a request is not repeated though answers may still come that show its parts as harmless.
+TEST_CASE("a request with a suspected part is repeated until the settle time is over")
+{
+    quarantine_fixture fixture;
+    for (int loss = 0; loss < 3; ++loss) {
+        fixture.lose({{"part"}});
+        fixture.advance(200ms);
+    }
+    CHECK(fixture.quarantine.admit(partsOf({"part"}), fixture.now, true) == admission::allowed);
+}
+
 // Failure: callers that make up parts fill the memory of the instance.
 TEST_CASE("the number of remembered parts is limited")
 {
