--- a/corneltally/quarantine/part_quarantine.h
+++ b/corneltally/quarantine/part_quarantine.h
@@ -55,7 +55,8 @@
 /// is quarantined, or the one that follows it in its prompts if that has been lost as often: it
 /// refuses fewer requests. Its losses are then explained and count against no other part; if it was
 /// not the cause, further losses follow and show the one that was. A loss does not count if the
-/// same start of the endpoint answers later: then only a connection broke.
+/// same start of the endpoint answers later: then only a connection broke. The instance that
+/// decided on a quarantine ends it if it learns of an answer that leaves too few of the losses.
 ///
 /// A whole request is the last link of its chain of parts, so it is quarantined in place of its
 /// parts if it was lost as often as they were. Since this refuses nothing but its repeats, all
@@ -97,7 +98,8 @@
     /// Adds what another instance or failure domain reported.
     void applyPeer(const quarantine_state &inState, core::time_point inNow);
 
-    /// An instance does not repeat a request by itself that would be refused after one more loss.
+    /// An instance does not repeat a request by itself that would be refused after one more loss,
+    /// nor one with a part that the next update puts in quarantine.
     admission admit(const std::vector<shared_part> &inParts, core::time_point inNow,
                     bool inIsRepeat = false) const;
     void probeStarted(const std::vector<shared_part> &inParts, core::time_point inNow);
@@ -159,6 +161,12 @@
         std::unordered_set<start_digest> byRequests;
         std::unordered_map<part_digest, std::unordered_set<start_digest>> byRequestsWith;
     };
+    /// A quarantine that this instance decided on losses.
+    struct decision
+    {
+        std::uint32_t round = 0;
+        core::time_point firstLoss;
+    };
 
     candidate *addLoss(start_digest inStart, part_digest inPart, part_digest inParent,
                        core::time_point inAt, core::time_point inNow);
@@ -171,10 +179,12 @@
     bool isAmbiguous(part_digest inPart) const;
     bool mayProbe(part_digest inPart, const quarantined_part &inState,
                   core::time_point inNow) const;
+    bool isNextSuspect(const std::vector<shared_part> &inParts, core::time_point inNow) const;
     void decide(core::time_point inNow);
     std::optional<part_digest> mostSuspect(core::time_point inNow) const;
     std::vector<part_digest> suspectRequests(core::time_point inNow) const;
     part_digest deepestSuspect(part_digest inPart, core::time_point inNow) const;
+    bool isDecisionRefuted(part_digest inPart, const quarantined_part &inState) const;
     void findExplained();
     void clearSubsumed(part_digest inPart, core::time_point inNow);
     void quarantine(part_digest inPart, const evidence &inEvidence, core::time_point inNow);
@@ -196,6 +206,8 @@
     std::unordered_map<std::uint64_t, disproof> mDisproofs;
     /// Parts in quarantine, and those that were cleared lately.
     std::map<part_digest, quarantined_part> mParts;
+    /// Own decisions behind quarantines, as long as these last.
+    std::unordered_map<part_digest, decision> mDecisions;
     /// Running probes, with the times of their starts.
     std::unordered_map<part_digest, core::time_point> mProbes;
     /// Parts whose probes lost an endpoint since the last update.
