Restrict requests to the allowed regions of their route and account

Cause: a configuration may restrict the requests of a route or a client account to regions, and the program sent them to any failure domain. Change: allowed regions are decoded, the settings file has a table with the region of each failure domain, and routing/region_restriction combines both into the failure domains in which a request may run. The choice of an endpoint considers only these, so that first attempts, retries, resumed streams and adapter loads comply; an engine that is awaited for a load is checked again. If nothing is left, the request is refused at once with 503 and its reason. Without allowed regions nothing changes but the two fields of the line. Tests with processes were not run.

--- a/corneltally/engines/endpoint_choice.cpp
+++ b/corneltally/engines/endpoint_choice.cpp
@@ -176,7 +176,10 @@
     ioTable.expirePeerLoads(inNow);
     const estimate_correction &correction = ioTable.correctionFor(inRequest.service);
     std::vector<candidate> candidates;
-    const std::vector<endpoint *> all = ioTable.ofService(inRequest.service);
+    std::vector<endpoint *> all = ioTable.ofService(inRequest.service);
+    std::erase_if(all, [&](const endpoint *inEndpoint) {
+        return !inRequest.domains.contains(inEndpoint->entry.failureDomain);
+    });
     // If most endpoints fail, excluding them would only overload the others.
     const bool respectHealth
         = 2
--- a/corneltally/engines/endpoint_choice.h
+++ b/corneltally/engines/endpoint_choice.h
@@ -2,6 +2,7 @@
 
 #include "corneltally/core/boot_clock.h"
 #include "corneltally/engines/endpoint_table.h"
+#include "corneltally/routing/allowed_domains.h"
 #include "corneltally/routing/request_terms.h"
 
 #include <cstdint>
@@ -76,6 +77,8 @@
     std::vector<routing::prompt_part> parts;
     /// Endpoints that must not receive the request.
     std::set<std::string> excluded;
+    /// Failure domains in which the request may run.
+    routing::allowed_domains domains = {};
 };
 
 /// The endpoint chosen for a request.
--- a/corneltally/engines/endpoint_table.cpp
+++ b/corneltally/engines/endpoint_table.cpp
@@ -119,12 +119,13 @@
 }
 
 std::optional<std::pair<core::time_point, core::time_point>>
-endpoint_table::pauseEnds(std::string_view inService, core::time_point inNow) const
+endpoint_table::pauseEnds(std::string_view inService, core::time_point inNow,
+                          const routing::allowed_domains &inDomains) const
 {
     std::optional<std::pair<core::time_point, core::time_point>> ends;
     for (const auto &[id, target] : mEndpoints) {
         if (target.entry.service != inService || target.removed || target.entry.leaving
-            || target.condition.isLeaving())
+            || target.condition.isLeaving() || !inDomains.contains(target.entry.failureDomain))
             continue;
         if (!target.condition.isPaused(inNow))
             return std::nullopt;
--- a/corneltally/engines/endpoint_table.h
+++ b/corneltally/engines/endpoint_table.h
@@ -6,6 +6,7 @@
 #include "corneltally/engines/endpoint_notice.h"
 #include "corneltally/engines/estimate_correction.h"
 #include "corneltally/engines/recent_parts.h"
+#include "corneltally/routing/allowed_domains.h"
 #include "corneltally/scheduling/endpoint_health.h"
 
 #include <cstdint>
@@ -204,10 +205,11 @@
     /// Whether an endpoint may receive new requests.
     bool usable(const endpoint &inEndpoint, core::time_point inNow) const;
 
-    /// First and last end of the pauses that the endpoints of a service asked for, if it has
-    /// endpoints that stay and all of them are paused.
+    /// First and last end of the pauses that the endpoints of a service in the given failure
+    /// domains asked for, if there are endpoints that stay and all of them are paused.
     std::optional<std::pair<core::time_point, core::time_point>>
-    pauseEnds(std::string_view inService, core::time_point inNow) const;
+    pauseEnds(std::string_view inService, core::time_point inNow,
+              const routing::allowed_domains &inDomains = {}) const;
 
     /// Endpoints whose pauses have ended since the last call, with the lengths of the pauses.
     std::vector<std::pair<std::string, core::duration>> takeEndedPauses(core::time_point inNow);
--- a/corneltally/forwarding/forward_context.h
+++ b/corneltally/forwarding/forward_context.h
@@ -8,6 +8,7 @@
 #include "corneltally/limits/fleet_allowance.h"
 #include "corneltally/limits/fleet_retry_budget.h"
 #include "corneltally/quarantine/part_quarantine.h"
+#include "corneltally/routing/region_restriction.h"
 
 #include <cstdint>
 #include <map>
@@ -84,6 +85,8 @@
     std::vector<fleet::answer_pause> pauses;
     /// When the requests of this instance are ended; set while it is stopping.
     std::optional<core::time_point> stopAt;
+    /// Region of each failure domain, from the settings.
+    routing::domain_regions regions = {};
 };
 
 } // namespace corneltally::forwarding
--- a/corneltally/forwarding/forwarded_request.cpp
+++ b/corneltally/forwarding/forwarded_request.cpp
@@ -107,6 +107,7 @@
         if (account->priority)
             mPriority = account->priority;
     }
+    restrictRegions(account);
     mService = mTable->chooseService(*mRoute, mTerms.requestId);
     const core::duration callerTime = mTerms.timeLeft.value_or(mRoute->timeout);
     mCallerDeadline = mRequest.arrived + callerTime;
@@ -243,13 +244,14 @@
         return;
     const auto named = mContext.namedVersions.find(engines::adapterKey(mWork.model, mWork.adapter));
     mWork.version = named == mContext.namedVersions.end() ? 0 : named->second;
+    noteRegionsKept();
     const auto choice = engines::chooseEndpoint(mContext.endpoints, mWork, mContext.failureDomain,
                                                 mContext.settings.choice, now);
     if (!choice) {
         if (mFailureAnswerStored)
             passFailure();
         else if (mRunState == run_state::not_run)
-            refuseUnserved("no endpoint can serve the request");
+            refuseUnserved(regionRefusal());
         else
             answerUnknown("no other endpoint can serve the request");
         return;
--- a/corneltally/forwarding/forwarded_request.h
+++ b/corneltally/forwarding/forwarded_request.h
@@ -8,6 +8,7 @@
 #include "corneltally/http1/server_connection.h"
 #include "corneltally/kernel/timer.h"
 #include "corneltally/quarantine/shared_part.h"
+#include "corneltally/routing/region_restriction.h"
 #include "corneltally/routing/request_terms.h"
 #include "corneltally/routing/routing_table.h"
 
@@ -65,6 +66,10 @@
     bool admit();
     bool admitParts();
     std::uint64_t contentHash() const;
+    void restrictRegions(const routing::client_account *inAccount);
+    void noteRegionsKept();
+    bool mayReceive(const engines::endpoint &inTarget) const;
+    std::string_view regionRefusal() const;
     void chooseAndSend();
     void sendOrAwaitAdapter();
     void requestAdapterLoad();
@@ -118,6 +123,9 @@
     const routing::service *mService = nullptr;
     std::string mAccount;
     std::optional<int> mPriority;
+    routing::region_restriction mRegions;
+    /// Whether a usable endpoint outside the allowed regions was excluded.
+    bool mKeptInRegions = false;
     engines::work_request mWork;
     /// The shared parts of the prompt in their order, and the request as a whole.
     std::vector<quarantine::shared_part> mPartChain;
--- a/corneltally/forwarding/forwarded_request_adapter.cpp
+++ b/corneltally/forwarding/forwarded_request_adapter.cpp
@@ -82,8 +82,7 @@
 {
     const core::time_point now = core::boot_clock::now();
     const engines::endpoint *target = mContext.endpoints.find(mChoice.endpoint);
-    if (target == nullptr || target->entry.startedMs != mEndpointStart
-        || !mContext.endpoints.usable(*target, now)) {
+    if (target == nullptr || target->entry.startedMs != mEndpointStart || !mayReceive(*target)) {
         chooseAndSend();
         return;
     }
@@ -122,7 +121,7 @@
     const bool expected = target != nullptr
         && (target->adapters.arriving.contains(key) || isAdapterResident() || mLoadRetries > 0);
     if (expected) {
-        if (mLoadRetries > 0 && mContext.endpoints.usable(*target, now))
+        if (mLoadRetries > 0 && mayReceive(*target))
             send();
         else
             sendOrAwaitAdapter();
@@ -169,8 +168,7 @@
     if (!lost && !loadMayBeLate && mLoadRetries == 0 && !target.adapters.arriving.contains(key))
         return false;
     if (mLoadRetries >= mContext.settings.maxLoadRetries || timeLeft() < cMinAttemptTime
-        || !mContext.endpoints.usable(target, now)
-        || !mContext.retries.tryRetry(mService->name, now))
+        || !mayReceive(target) || !mContext.retries.tryRetry(mService->name, now))
         return false;
     ++mLoadRetries;
     mState = state::waiting;
--- a/corneltally/forwarding/forwarded_request_answer.cpp
+++ b/corneltally/forwarding/forwarded_request_answer.cpp
@@ -231,7 +231,7 @@
 void forwarded_request::refuseUnserved(std::string_view inReason)
 {
     const core::time_point now = core::boot_clock::now();
-    const auto ends = mContext.endpoints.pauseEnds(mService->name, now);
+    const auto ends = mContext.endpoints.pauseEnds(mService->name, now, mWork.domains);
     if (!ends) {
         refuseBusy(inReason);
         return;
@@ -276,6 +276,8 @@
                    {{"request", mTerms.requestId},
                     {"route", mRoute != nullptr ? mRoute->name : std::string()},
                     {"account", mAccount},
+                    {"regions", mRegions.toText()},
+                    {"kept_by", mKeptInRegions ? mRegions.source() : std::string_view()},
                     {"configuration", mTable ? mTable->version() : 0},
                     {"endpoint", mChoice.endpoint},
                     {"adapter", mWork.adapter},
--- a/corneltally/forwarding/front_service.cpp
+++ b/corneltally/forwarding/front_service.cpp
@@ -40,7 +40,8 @@
                .quarantine = quarantine::part_quarantine(mOptions.instance),
                .namedVersions = {},
                .adapterUses = {},
-               .stopAt = {}}
+               .stopAt = {},
+               .regions = mOptions.regions}
     , mPruneTimer(ioRegistry.loop(), [this] { prune(); })
     , mListener(ioRegistry.loop(), [this](int inSocket) { accept(inSocket); })
     , mBodyBudget(std::make_shared<http1::body_budget>(mOptions.bodyBudgetBytes))
@@ -252,6 +253,29 @@
     mContext.allowance.retainAccounts(names);
     for (auto &[id, entry] : mCallers)
         entry.connection->setLimits(inChanged.table->source().limits);
+    updateUnservedRestrictions();
+}
+
+void front_service::setRegions(routing::domain_regions inRegions)
+{
+    mContext.regions = std::move(inRegions);
+    updateUnservedRestrictions();
+}
+
+/// Logs which routes and accounts can't be served since no failure domain is in their regions.
+void front_service::updateUnservedRestrictions()
+{
+    if (!mContext.table)
+        return;
+    for (const auto &changed : mUnservedRestrictions.update(
+             mContext.table->source(), mContext.regions, core::boot_clock::now()))
+        core::logEvent(changed.unserved ? core::log_level::warning : core::log_level::info,
+                       changed.unserved ? "region_restriction_unserved"
+                                        : "region_restriction_served",
+                       {{"of", changed.subject},
+                        {"regions", changed.regions},
+                        {"configuration", mContext.table->version()},
+                        {"seconds", std::chrono::duration<double>(changed.lasted).count()}});
 }
 
 void front_service::endpointChanged(const std::string &inEndpoint)
@@ -470,6 +494,8 @@
     bool first = true;
     for (const auto &[id, target] : mContext.endpoints.all()) {
         text.append(first ? "" : ",").append("{\"id\":\"").append(core::jsonEscape(id));
+        text.append("\",\"failure_domain\":\"")
+            .append(core::jsonEscape(target.entry.failureDomain));
         text.append("\",\"holder\":\"").append(core::jsonEscape(target.holder));
         text.append("\",\"ready\":").append(target.holderReady ? "true" : "false");
         text.append(",\"leaving\":").append(target.entry.leaving ? "true" : "false");
--- a/corneltally/forwarding/front_service.h
+++ b/corneltally/forwarding/front_service.h
@@ -7,6 +7,7 @@
 #include "corneltally/http1/server_connection.h"
 #include "corneltally/kernel/service.h"
 #include "corneltally/kernel/timer.h"
+#include "corneltally/routing/unserved_restrictions.h"
 
 #include <cstdint>
 #include <functional>
@@ -31,6 +32,8 @@
     /// Time after the start in which requests wait for the first message of another instance, which
     /// tells what is in quarantine.
     core::duration firstMessageTimeout = std::chrono::milliseconds(400);
+    /// Region of each failure domain.
+    routing::domain_regions regions = {};
 };
 
 /// Accepts the connections of callers and handles their requests.
@@ -71,6 +74,9 @@
         mContext.retries.setLimits(inLimits);
     }
 
+    /// Sets the region of each failure domain, for requests that arrive from now on.
+    void setRegions(routing::domain_regions inRegions);
+
     /// Called when the process was suspended for some time. Discards state that may be outdated.
     void paused();
 
@@ -97,6 +103,7 @@
     void sendHeartbeatPart();
     void endpointNoticed(const engines::endpoint_noticed &inNoticed);
     void peerSaysLeaving(const std::string &inInstance, const std::set<std::uint64_t> &inStarts);
+    void updateUnservedRestrictions();
     void prune();
     void quarantineReported(const quarantine::quarantine_state &inState);
     void updateQuarantine();
@@ -117,6 +124,7 @@
     bool mHasPeers = false;
     bool mHasHeardPeer = false;
     std::size_t mRunning = 0;
+    routing::unserved_restrictions mUnservedRestrictions;
     bool mEndpointsListed = false;
     bool mDraining = false;
 };
--- a/corneltally/forwarding/instance.cpp
+++ b/corneltally/forwarding/instance.cpp
@@ -122,6 +122,7 @@
         core::logEvent(core::log_level::info, "started",
                        {{"incarnation", mIncarnation},
                         {"failure_domain", mSettings.failureDomain},
+                        {"region", mSettings.region},
                         {"callers", static_cast<int>(mFront.port())},
                         {"operators", static_cast<int>(mOperators.port())},
                         {"peers", static_cast<int>(mMesh.port())}});
@@ -143,7 +144,8 @@
                               .failureDomain = mSettings.failureDomain,
                               .listen = addressOf(mSettings.callers),
                               .retries = retryLimits(mSettings),
-                              .bodyBudgetBytes = bodyBudgetBytes(mSettings)};
+                              .bodyBudgetBytes = bodyBudgetBytes(mSettings),
+                              .regions = mSettings.regions};
         options.settings.choice.adapterLoad = milliseconds(mSettings.adapterLoadMs);
         options.settings.choice.promptTokensPerMs = mSettings.promptTokensPerMs;
         return options;
@@ -191,9 +193,12 @@
             return;
         }
         mFront.setRetryLimits(retryLimits(*settings));
+        mFront.setRegions(settings->regions);
         mSettings.stopMs = settings->stopMs;
         core::logEvent(core::log_level::info, "reloaded",
-                       {{"retry_ratio", settings->retryRatio}, {"stop_ms", settings->stopMs}});
+                       {{"retry_ratio", settings->retryRatio},
+                        {"stop_ms", settings->stopMs},
+                        {"regions_of_domains", settings->regions.size()}});
     }
 
     void beginDrain()
--- a/corneltally/routing/client_account.h
+++ b/corneltally/routing/client_account.h
@@ -22,6 +22,8 @@
     bool countsTokens = false;
     /// Tokens charged for a request that does not state its token count.
     double defaultTokens = 0;
+    /// Regions in which the account's requests may run; absent if they may run in all.
+    std::optional<std::vector<std::string>> allowedRegions;
 
     friend auto operator<=>(const client_account &, const client_account &) = default;
 };
--- a/corneltally/routing/route.h
+++ b/corneltally/routing/route.h
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <compare>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -60,6 +61,8 @@
     /// Whether requests are served without a key.
     bool open = false;
     std::vector<weighted_service> services;
+    /// Regions in which the route's requests may run; absent if they may run in all.
+    std::optional<std::vector<std::string>> allowedRegions;
 
     friend auto operator<=>(const route &, const route &) = default;
 };
--- a/corneltally/settings/forwarding_settings.cpp
+++ b/corneltally/settings/forwarding_settings.cpp
@@ -11,14 +11,26 @@
 
 namespace {
 
+/// A table with keys of any name, whose values are texts.
+using text_table = std::map<std::string, std::string, std::less<>>;
+
 using target_member
     = std::variant<std::string forwarding_settings::*, std::int64_t forwarding_settings::*,
-                   double forwarding_settings::*>;
+                   double forwarding_settings::*, text_table forwarding_settings::*>;
 
 struct known_key
 {
     forwarding_settings::table_key key;
     target_member target;
+
+    bool hasAnyName() const
+    {
+        return std::holds_alternative<text_table forwarding_settings::*>(target);
+    }
+    bool matches(std::string_view inTable, std::string_view inKey) const
+    {
+        return key.table == inTable && (key.definition.key == inKey || hasAnyName());
+    }
 };
 
 const std::vector<known_key> &knownKeys()
@@ -28,6 +40,7 @@
     static const std::vector<known_key> sKeys{
         {{"instance", true, {"name", name, "", "", 0, 0, ""}}, &self::instanceName},
         {{"instance", true, {"failure_domain", name, "", "", 0, 0, ""}}, &self::failureDomain},
+        {{"instance", false, {"region", name, "", "", 0, 0, ""}}, &self::region},
         {{"instance", true, {"machine", name, "", "", 0, 0, ""}}, &self::machine},
         {{"listen", true, {"callers", listen_address, "", "", 0, 0, ""}}, &self::callers},
         {{"listen", true, {"operators", listen_address, "", "", 0, 0, ""}}, &self::operators},
@@ -47,6 +60,7 @@
          &self::adapterLoadMs},
         {{"engines", false, {"prompt_tokens_per_ms", number, "tokens/ms", "40", 0.01, 1e6, ""}},
          &self::promptTokensPerMs},
+        {{"regions", false, {"<failure_domain>", name, "", "", 0, 0, ""}}, &self::regions},
     };
     return sKeys;
 }
@@ -57,9 +71,11 @@
 }
 
 void assign(forwarding_settings &ioSettings, const target_member &inTarget,
-            const setting_value &inValue)
+            const std::string &inKey, const setting_value &inValue)
 {
-    if (const auto *text = std::get_if<std::string forwarding_settings::*>(&inTarget)) {
+    if (const auto *table = std::get_if<text_table forwarding_settings::*>(&inTarget)) {
+        (ioSettings.*(*table))[inKey] = std::get<std::string>(inValue);
+    } else if (const auto *text = std::get_if<std::string forwarding_settings::*>(&inTarget)) {
         ioSettings.*(*text) = std::get<std::string>(inValue);
     } else if (const auto *integer = std::get_if<std::int64_t forwarding_settings::*>(&inTarget)) {
         ioSettings.*(*integer) = std::get<std::int64_t>(inValue);
@@ -110,9 +126,8 @@
         const std::string table = entry.table.empty() ? std::string() : entry.table.front();
         const std::string key = entry.isTable ? entry.key : qualified(table, entry.key);
         const auto known = std::ranges::find_if(knownKeys(), [&](const known_key &inKnown) {
-            return entry.isTable
-                ? inKnown.key.table == entry.key
-                : inKnown.key.table == table && inKnown.key.definition.key == entry.key;
+            return entry.isTable ? inKnown.key.table == entry.key
+                                 : inKnown.matches(table, entry.key);
         });
         if (known == knownKeys().end()) {
             problems.push_back(unknownKey(inFile, entry, key));
@@ -122,11 +137,14 @@
             continue;
         found.push_back(key);
         const setting_value value = entry.value.value_or(std::vector<std::string>());
-        if (const auto failure = checkValue(known->key.definition, value))
+        if (known->hasAnyName() && !isName(entry.key))
+            problems.push_back({std::string(inFile), entry.line, key, "the key is not a name",
+                                "use letters, digits, '.', '_' and '-'"});
+        else if (const auto failure = checkValue(known->key.definition, value))
             problems.push_back(
                 {std::string(inFile), entry.line, key, failure->message, failure->remedy});
         else
-            assign(settings, known->target, value);
+            assign(settings, known->target, entry.key, value);
     }
     for (const known_key &entry : knownKeys()) {
         const std::string key = qualified(entry.key.table, entry.key.definition.key);
--- a/corneltally/settings/forwarding_settings.h
+++ b/corneltally/settings/forwarding_settings.h
@@ -6,6 +6,8 @@
 
 #include <compare>
 #include <cstdint>
+#include <functional>
+#include <map>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -17,6 +19,8 @@
 {
     std::string instanceName;
     std::string failureDomain;
+    /// Region of this instance; empty if unknown.
+    std::string region;
     /// Identity of the machine. Processes on the same machine count as one holder of engines.
     std::string machine;
     std::string callers;
@@ -40,6 +44,8 @@
     /// Adapter load time and prefill speed, for estimates.
     std::int64_t adapterLoadMs = 250;
     double promptTokensPerMs = 40;
+    /// Region of each failure domain. A failure domain that is not listed is in no region.
+    std::map<std::string, std::string, std::less<>> regions;
 
     /// Parses and checks a file. On failure the error lists every problem on a line of its own;
     /// outProblems receives them individually.
--- a/tests/unit/engines_endpoint_choice_test.cpp
+++ b/tests/unit/engines_endpoint_choice_test.cpp
@@ -215,6 +215,11 @@
     CHECK(fleet.choose(adapterRequest())->endpoint == "e1");
     fail("e1");
     CHECK(fleet.choose(adapterRequest())->endpoint != "e1");
+    // The health of endpoints where the request may not run is of no account.
+    engines::work_request restricted = adapterRequest();
+    restricted.domains = routing::allowed_domains({"south"});
+    fleet.endpoints.find("e1")->entry.failureDomain = "south";
+    CHECK(fleet.choose(restricted)->endpoint == "e1");
     fail("e2");
     fail("e3");
     CHECK(fleet.choose(adapterRequest()));
--- a/tests/unit/forwarding_front_fixture.h
+++ b/tests/unit/forwarding_front_fixture.h
@@ -128,6 +128,8 @@
     kernel::timer heartbeats{loop, [this] { registry.broadcast(fleet::heartbeat_due{}); }};
     std::map<std::string, fleet::load_wanted> wanted;
     http1::caller_limits callerLimits;
+    /// Changes the configuration before configure() publishes it.
+    std::function<void(routing::configuration &)> adjusts = {};
 
     explicit front_fixture(core::duration inFirstMessageTimeout = 400ms)
         : firstMessageTimeout(inFirstMessageTimeout)
@@ -170,6 +172,8 @@
                           .burst = 10'000}},
             .limits = callerLimits,
             .keysRequired = true};
+        if (adjusts)
+            adjusts(configuration);
         registry.broadcast(catalog::configuration_changed{
             std::make_shared<const routing::routing_table>(std::move(configuration))});
         announce("e1", "shop", first);
--- a/tests/unit/platform_codec_test.cpp
+++ b/tests/unit/platform_codec_test.cpp
@@ -78,6 +78,24 @@
     CHECK(decoded->accounts[0].countsTokens);
 }
 
+// Failure: a mistake in a list of allowed regions lifts the restriction.
+TEST_CASE("allowed regions are decoded, and a malformed list allows no region")
+{
+    using regions = std::optional<std::vector<std::string>>;
+    const auto decoded = platform::decodeConfiguration(
+        R"({"routes":[{"name":"two","allowed-regions":["north","south"]},{"name":"without"},
+            {"name":"empty","allowed-regions":[]},{"name":"text","allowed-regions":"north"},
+            {"name":"number","allowed-regions":[7,"north"]}],
+            "tenants":[{"name":"a","allowed-regions":["south"]}]})");
+    REQUIRE(decoded);
+    CHECK(decoded->routes[0].allowedRegions == regions({"north", "south"}));
+    CHECK_FALSE(decoded->routes[1].allowedRegions);
+    CHECK_FALSE(decoded->routes[2].allowedRegions);
+    CHECK(decoded->routes[3].allowedRegions == regions(std::vector<std::string>()));
+    CHECK(decoded->routes[4].allowedRegions == regions({"north"}));
+    CHECK(decoded->accounts[0].allowedRegions == regions({"south"}));
+}
+
 TEST_CASE("a malformed configuration is refused with a reason")
 {
     CHECK_FALSE(platform::decodeConfiguration("[]"));
--- a/tests/unit/settings_forwarding_test.cpp
+++ b/tests/unit/settings_forwarding_test.cpp
@@ -30,6 +30,9 @@
 [retries]
 ratio = 1
 slack = 58
+[regions]
+"reykjanes-a" = "reykjanes"
+austur = "austurland"
 )";
 
 } // namespace
@@ -41,6 +44,9 @@
     CHECK(settings->machine == "10.1.0.25");
     CHECK(settings->retryRatio == 1);
     CHECK(settings->holderPauseMs == 3000);
+    CHECK(settings->regions
+          == std::map<std::string, std::string, std::less<>>{{"reykjanes-a", "reykjanes"},
+                                                             {"austur", "austurland"}});
     CHECK(forwarding_settings::sIsForwardingFile(cFile));
     CHECK_FALSE(forwarding_settings::sIsForwardingFile("[platform]\naddress = \"1.1.1.1:1\"\n"));
 }
@@ -64,12 +70,14 @@
     text.replace(text.find("stop_ms = 8000"), 14, "stop_msec = 8000");
     text.replace(text.find("\"10.200.1.7:8225\""), 17, "\"nowhere\"");
     text.replace(text.find("machine"), 7, "#machine");
+    text.replace(text.find("\"austurland\""), 12, "17");
     std::vector<settings::problem> problems;
     CHECK_FALSE(forwarding_settings::sFromToml(text, "a.toml", &problems));
-    REQUIRE(problems.size() == 3);
+    REQUIRE(problems.size() == 4);
     CHECK(problems[0].key == "store.address");
     CHECK(problems[0].line == 10);
     CHECK(problems[1].key == "limits.stop_msec");
     CHECK(problems[1].remedy == "did you mean \"stop_ms\"?");
-    CHECK(problems[2].key == "instance.machine");
+    CHECK(problems[2].key == "regions.austur");
+    CHECK(problems[3].key == "instance.machine");
 }
