Check a configuration document before it is published

Cause: a mistake in a configuration showed only in service, as refusals or as entries without effect, and a misspelt restriction restricted nothing. The exit code is 2 for errors and 0 for warnings and differences.

--- a/apps/check_command.cpp
+++ b/apps/check_command.cpp
@@ -1,3 +1,4 @@
+#include "apps/check_configuration.h"
 #include "apps/command_line.h"
 #include "apps/commands.h"
 #include "apps/files.h"
@@ -131,10 +132,15 @@
     line.add("tree", "FILE", "settings tree (TOML)");
     line.add("explain", "PATH KEY",
              "show the value of a key at a node of --tree and where it is set", 2);
+    line.add("configuration", "FILE", "configuration document of forwarding instances (JSON)");
+    line.add("in-force", "FILE", "version in force, to list what --configuration changes");
     if (!line.parse(inArguments, inOutput.text, inOutput.errors))
         return line.exitCode();
-    if (!line.has("settings") && !line.has("tree"))
-        return line.fail("--settings FILE or --tree FILE is required", inOutput.errors);
+    if (line.has("in-force") && !line.has("configuration"))
+        return line.fail("--in-force needs --configuration FILE", inOutput.errors);
+    if (!line.has("settings") && !line.has("tree") && !line.has("configuration"))
+        return line.fail("--settings FILE, --tree FILE or --configuration FILE is required",
+                         inOutput.errors);
     if (line.has("explain") && !line.has("tree"))
         return line.fail("--explain needs --tree FILE", inOutput.errors);
 
@@ -147,6 +153,11 @@
         tree = checkTreeFile(line.value("tree"), problems);
     if (process && tree)
         checkConsistency(line.value("settings"), *process, tree->tree, problems);
+    std::size_t warnings = 0;
+    if (line.has("configuration"))
+        warnings = checkConfigurationFiles(
+            {line.value("configuration"), line.value("in-force"), line.value("settings")}, problems,
+            inOutput.text);
     printProblems(problems, inOutput.errors);
     if (!problems.empty())
         return cExitUsage;
@@ -156,7 +167,7 @@
             code != cExitDone)
             return code;
     }
-    if (explainArguments.empty())
+    if (explainArguments.empty() && warnings == 0)
         inOutput.text << "no problems found\n";
     return cExitDone;
 }
