--- a/corneltally/engines/endpoint_choice.cpp
+++ b/corneltally/engines/endpoint_choice.cpp
@@ -1,6 +1,7 @@
 #include "corneltally/engines/endpoint_choice.h"
 
 #include "corneltally/core/digest.h"
+#include "corneltally/engines/cold_preference.h"
 
 #include <algorithm>
 #include <limits>
@@ -103,8 +104,31 @@
     endpoint_choice::readiness state = endpoint_choice::readiness::ready;
     core::time_point readyAt;
     std::uint64_t preference = 0;
+    bool cold = false;
 };
 
+endpoint_option optionOf(const candidate &inCandidate)
+{
+    return {.estimate = fromMs(inCandidate.estimate),
+            .cost = inCandidate.cost,
+            .needsLoad = inCandidate.state == endpoint_choice::readiness::to_load};
+}
+
+/// The best of the warm and the best of the cold candidates are compared by rules of their own.
+const candidate &bestOf(const std::vector<candidate> &inCandidates, core::duration inTarget)
+{
+    const candidate *warm = nullptr;
+    const candidate *cold = nullptr;
+    for (const candidate &entry : inCandidates) {
+        const candidate *&best = entry.cold ? cold : warm;
+        if (best == nullptr || entry.cost < best->cost)
+            best = &entry;
+    }
+    if (warm == nullptr || cold == nullptr)
+        return warm == nullptr ? *cold : *warm;
+    return prefersCold(optionOf(*warm), optionOf(*cold), inTarget) ? *cold : *warm;
+}
+
 /// Adds the wait for the adapter. Returns false if the endpoint can't load it.
 bool addAdapterWait(candidate &ioCandidate, const endpoint_table &inTable, const std::string &inKey,
                     const work_request &inRequest, const choice_options &inOptions,
@@ -189,9 +213,13 @@
             continue;
         if (needsModel && !target->holdsModel(inRequest.model))
             continue;
+        const bool cold = ioTable.isCold(*target, inNow);
+        if (cold && !endpoint_table::mayAskPermit(*target, inNow))
+            continue;
         const endpoint_load load = ioTable.totalLoad(*target);
         candidate entry{.target = target,
-                        .preference = core::rendezvousWeight(key, target->entry.id)};
+                        .preference = core::rendezvousWeight(key, target->entry.id),
+                        .cold = cold};
         if (needsModel) {
             entry.prefill = prefillMs(load, inRequest,
                                       cachedTokens(ioTable, *target, inRequest, prefixes, inNow),
@@ -200,6 +228,10 @@
         } else {
             entry.cost = plainCost(*target, load);
         }
+        if (cold) {
+            entry.prefill *= inOptions.coldSlowness;
+            entry.cost *= inOptions.coldSlowness;
+        }
         if (needsModel && !inRequest.adapter.empty()
             && !addAdapterWait(entry, ioTable, key, inRequest, inOptions, inNow))
             continue;
@@ -224,7 +256,7 @@
         if (entry.state == endpoint_choice::readiness::to_load)
             entry.cost += inMs(inOptions.rankPenalty) * rank++;
     }
-    const candidate &best = *std::ranges::min_element(candidates, {}, &candidate::cost);
+    const candidate &best = bestOf(candidates, inRequest.targetTime);
     return endpoint_choice{best.target->entry.id, best.state, best.readyAt, fromMs(best.estimate),
                            fromMs(best.prefill)};
 }
--- a/corneltally/engines/endpoint_choice.h
+++ b/corneltally/engines/endpoint_choice.h
@@ -51,6 +51,8 @@
     /// Cost of each rank that an engine is below the preferred one for an adapter that has to be
     /// loaded. It lets the instances choose the same engine while engines are equally loaded.
     core::duration rankPenalty = std::chrono::milliseconds(20);
+    /// Factor by which a cold endpoint counts as slower. Assumed: the platform does not state it.
+    double coldSlowness = 2;
     /// Lower bound of the health weight that divides an endpoint's cost.
     double minHealth = 0.1;
 };
@@ -73,6 +75,8 @@
     double expectedTokens = 0;
     /// Longest pause between events that the route allows; zero if there is no bound.
     core::duration targetPause{};
+    /// Time until the first event within which the request is served in time.
+    core::duration targetTime{};
     std::vector<routing::prompt_part> parts;
     /// Endpoints that must not receive the request.
     std::set<std::string> excluded;
--- a/corneltally/engines/endpoint_entry.h
+++ b/corneltally/engines/endpoint_entry.h
@@ -29,6 +29,8 @@
     /// Number of orders accepted since the start.
     std::uint64_t orders = 0;
     std::vector<held_model> models;
+    /// How much longer the endpoint is cold, at the time of writing.
+    std::optional<std::chrono::milliseconds> coldLeft;
 
     friend auto operator<=>(const endpoint_entry &, const endpoint_entry &) = default;
 };
--- a/corneltally/engines/endpoint_table.cpp
+++ b/corneltally/engines/endpoint_table.cpp
@@ -84,9 +84,14 @@
     endpoint &target = found->second;
     const bool restarted = isNew || target.entry.startedMs != inEntry.startedMs
         || target.entry.address != inEntry.address;
+    const bool returned = target.removed;
     if (restarted)
         target = endpoint{};
+    if (restarted || returned)
+        target.appearedAt = inNow;
     target.entry = inEntry;
+    target.entryAt = inNow;
+    applyColdEntry(target, restarted || returned, inNow);
     target.digest = digestOf(inEntry.id);
     target.startDigest = startDigest(inEntry.id, inEntry.startedMs);
     mByDigest[target.digest] = &target;
--- a/corneltally/engines/endpoint_table.h
+++ b/corneltally/engines/endpoint_table.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "corneltally/core/boot_clock.h"
+#include "corneltally/engines/cold_change.h"
+#include "corneltally/engines/cold_state.h"
 #include "corneltally/engines/endpoint_condition.h"
 #include "corneltally/engines/endpoint_entry.h"
 #include "corneltally/engines/endpoint_notice.h"
@@ -100,6 +102,15 @@
     /// Average over answers of the longest pause between two events while the engine prefilled
     /// another prompt; zero before the first such pause.
     core::duration prefillPause{};
+    cold_state cold;
+    /// When this start of the endpoint became known, or its entry came back, and when the last
+    /// entry was read.
+    core::time_point appearedAt;
+    core::time_point entryAt;
+    /// The holder grants no permit for a request to the cold endpoint before this time.
+    core::time_point permitNotBefore;
+    /// Whether the log says that the endpoint is cold.
+    bool coldReported = false;
 
     bool holdsModel(std::string_view inModel) const;
     void setAdapters(residency inAdapters);
@@ -204,6 +215,45 @@
     /// Whether an endpoint may receive new requests.
     bool usable(const endpoint &inEndpoint, core::time_point inNow) const;
 
+    /// Sets how long endpoints are cold, for the services whose cold endpoints need permits.
+    void setColdTimes(std::map<std::string, core::duration, std::less<>> inColdTimes);
+
+    /// Whether an endpoint is cold, so that a request to it needs a permit.
+    bool isCold(const endpoint &inEndpoint, core::time_point inNow) const;
+
+    /// Whether a permit for a cold endpoint may be asked for.
+    static bool mayAskPermit(const endpoint &inEndpoint, core::time_point inNow);
+
+    /// Applies a remaining cold time from an answer to a request that was sent at inSentAt.
+    void applyColdAnswer(std::string_view inId, std::uint64_t inStartedMs,
+                         core::duration inColdLeft, core::time_point inSentAt,
+                         core::time_point inNow);
+
+    /// An exchange with an endpoint failed such that it may have started again.
+    void expectColdAfterLoss(std::string_view inId, std::uint64_t inStartedMs,
+                             core::time_point inNow);
+
+    /// Marks all endpoints of a failure domain as possibly cold, since they were not observed.
+    void expectCold(std::string_view inFailureDomain, core::time_point inNow);
+
+    /// Applies another instance's ownColdReports(), by digests of starts.
+    void applyPeerCold(const std::map<std::uint64_t, core::duration> &inStarts,
+                       core::time_point inNow);
+
+    /// Remaining cold times that only this instance may know: from its exchanges with endpoints.
+    std::map<std::uint64_t, core::duration> ownColdReports(core::time_point inNow) const;
+
+    /// Asks no permits of a holder before inUntil.
+    void deferPermits(std::string_view inHolder, core::time_point inUntil);
+
+    /// First and last time at which permits for the cold endpoints of a service may be asked for,
+    /// if it has usable cold endpoints.
+    std::optional<std::pair<core::time_point, core::time_point>>
+    permitTimes(std::string_view inService, core::time_point inNow) const;
+
+    /// Endpoints that became cold or warm since the last call.
+    std::vector<cold_change> takeColdChanges(core::time_point inNow);
+
     /// First and last end of the pauses that the endpoints of a service asked for, if it has
     /// endpoints that stay and all of them are paused.
     std::optional<std::pair<core::time_point, core::time_point>>
@@ -229,6 +279,8 @@
     };
 
     void updateTypicalPauses();
+    std::optional<core::duration> coldTimeOf(const endpoint &inEndpoint) const;
+    void applyColdEntry(endpoint &ioEndpoint, bool inMayHaveStarted, core::time_point inNow) const;
     void addPeer(const peer_loads &inPeer);
     void subtractPeer(const peer_loads &inPeer);
 
@@ -244,6 +296,10 @@
     recent_parts mRecentParts;
     /// Median of the engines' prefill pauses, by service.
     std::map<std::string, core::duration, std::less<>> mTypicalPauses;
+    /// Cold times by service.
+    std::map<std::string, core::duration, std::less<>> mColdTimes;
+    /// Whether the last takeColdChanges() left an endpoint reported as cold.
+    bool mColdReported = false;
 };
 
 } // namespace corneltally::engines
--- a/corneltally/fleet/fleet_codec.cpp
+++ b/corneltally/fleet/fleet_codec.cpp
@@ -127,6 +127,23 @@
     return pauses;
 }
 
+std::vector<wire::ColdEndpoint> encodeCold(const std::map<std::uint64_t, core::duration> &inCold)
+{
+    std::vector<wire::ColdEndpoint> list;
+    list.reserve(inCold.size());
+    for (const auto &[start, remaining] : inCold)
+        list.emplace_back(start, remaining.count());
+    return list;
+}
+
+std::map<std::uint64_t, core::duration> decodeCold(const std::vector<wire::ColdEndpoint> &inList)
+{
+    std::map<std::uint64_t, core::duration> cold;
+    for (const wire::ColdEndpoint &entry : inList)
+        cold[entry.start()] = core::duration(entry.remaining_us());
+    return cold;
+}
+
 std::unique_ptr<wire::QuarantineStateT>
 encodeQuarantine(const quarantine::quarantine_state &inState, core::time_point inNow)
 {
@@ -182,6 +199,7 @@
         entry->address = instance.address;
         entry->incarnation = instance.incarnation;
         entry->draining = instance.draining;
+        entry->protocol = instance.protocol;
         ioTarget.instances.push_back(std::move(entry));
         for (const limits::account_use &use : instance.accountUses) {
             const auto [known, isNew] = accounts.try_emplace(
@@ -232,6 +250,7 @@
         target.store_failing = inHeartbeat.storeFailing;
         target.quarantine = encodeQuarantine(inHeartbeat.quarantine, now);
         target.leaving.assign(inHeartbeat.leaving.begin(), inHeartbeat.leaving.end());
+        target.cold = encodeCold(inHeartbeat.cold);
         body.Set(std::move(target));
     }
 
@@ -339,8 +358,26 @@
             target.engine_states.push_back(std::move(entry));
         }
         target.quarantine = encodeQuarantine(inSummary.quarantine, now);
+        target.cold = encodeCold(inSummary.cold);
+        body.Set(std::move(target));
+    }
+
+    void operator()(const permit_wanted &inWanted)
+    {
+        wire::PermitWantedT target;
+        target.endpoint = inWanted.endpoint;
+        target.number = inWanted.number;
         body.Set(std::move(target));
     }
+
+    void operator()(const permit_reply &inReply)
+    {
+        wire::PermitReplyT target;
+        target.number = inReply.number;
+        target.granted = inReply.granted;
+        target.retry_in_us = inReply.retryIn.count();
+        body.Set(target);
+    }
 };
 
 message decodeHeartbeat(const wire::HeartbeatT &inBody, core::time_point inNow)
@@ -355,7 +392,8 @@
                       .sentAt = core::time_point(core::duration(inBody.sent_at_us)),
                       .storeFailing = inBody.store_failing,
                       .quarantine = decodeQuarantine(inBody.quarantine.get(), inNow),
-                      .leaving = {inBody.leaving.begin(), inBody.leaving.end()}};
+                      .leaving = {inBody.leaving.begin(), inBody.leaving.end()},
+                      .cold = decodeCold(inBody.cold)};
     for (const auto &use : inBody.account_uses)
         decoded.accountUses.push_back({use->account, use->amount});
     return decoded;
@@ -392,8 +430,8 @@
     for (const auto &entry : inBody.heard_domains)
         decoded.heardDomains.push_back({entry->domain, entry->sender, entry->receiver});
     for (const auto &entry : inBody.instances)
-        decoded.instances.push_back(
-            {entry->instance, entry->machine, entry->address, entry->incarnation, entry->draining});
+        decoded.instances.push_back({entry->instance, entry->machine, entry->address,
+                                     entry->incarnation, entry->draining, entry->protocol});
     for (const wire::InstanceTotal &total : inBody.totals) {
         if (total.instance() >= decoded.instances.size()
             || total.account() >= inBody.accounts.size())
@@ -402,6 +440,7 @@
             {inBody.accounts[total.account()], total.amount()});
     }
     decoded.quarantine = decodeQuarantine(inBody.quarantine.get(), inNow);
+    decoded.cold = decodeCold(inBody.cold);
     for (const auto &entry : inBody.engine_states)
         decoded.engines.push_back({entry->holder, decodeState(*entry, inNow)});
     return decoded;
@@ -462,6 +501,10 @@
                              body->incarnation};
     if (const auto *body = envelope.body.AsDomainSummary())
         return decodeSummary(*body, inNow);
+    if (const auto *body = envelope.body.AsPermitWanted())
+        return permit_wanted{body->endpoint, body->number};
+    if (const auto *body = envelope.body.AsPermitReply())
+        return permit_reply{body->number, body->granted, core::duration(body->retry_in_us)};
     return std::nullopt;
 }
 
--- a/corneltally/fleet/fleet_messages.h
+++ b/corneltally/fleet/fleet_messages.h
@@ -19,8 +19,10 @@
 namespace corneltally::fleet {
 
 /// Version of the exchange between instances. Version 0 sends heartbeats to all instances; since
-/// version 1 heartbeats stay within a failure domain, and summaries connect the domains.
-constexpr std::uint16_t cProtocol = 1;
+/// version 1 heartbeats stay within a failure domain, and summaries connect the domains. Version 2
+/// knows permits for cold endpoints.
+constexpr std::uint16_t cProtocol = 2;
+constexpr std::uint16_t cPermitProtocol = 2;
 
 /// First message on a connection.
 struct hello
@@ -69,6 +71,9 @@
     quarantine::quarantine_state quarantine;
     /// Digests of starts of endpoints whose answers say that they leave.
     std::set<std::uint64_t> leaving;
+    /// For how much longer starts of endpoints are cold, by digest, as far as the sender's own
+    /// exchanges with them say.
+    std::map<std::uint64_t, core::duration> cold;
 
     friend bool operator==(const heartbeat &, const heartbeat &) = default;
 };
@@ -185,6 +190,8 @@
     std::string address;
     std::uint64_t incarnation = 0;
     bool draining = false;
+    /// Version of the exchange that it supports; 0 if the sender of the summary does not say.
+    std::uint16_t protocol = 0;
     /// Totals of accounts. Those that have not changed recently are omitted unless the summary
     /// says that all totals are in it.
     std::vector<limits::account_use> accountUses;
@@ -222,12 +229,35 @@
     /// Engines whose state changed or was repeated since the sender's last summary.
     std::vector<summarized_engine> engines;
     quarantine::quarantine_state quarantine;
+    /// As in heartbeats.
+    std::map<std::uint64_t, core::duration> cold;
 
     friend bool operator==(const domain_summary &, const domain_summary &) = default;
 };
 
-using message = std::variant<hello, heartbeat, load_wanted, adapter_missing, engine_state,
-                             operator_records_wanted, operator_records, adapter_running,
-                             endpoint_records, operator_end, fleet_records, domain_summary>;
+/// Asks the holder of a cold endpoint for a permit to send it one request.
+struct permit_wanted
+{
+    std::string endpoint;
+    /// Identifies the request for its sender.
+    std::uint64_t number = 0;
+
+    friend auto operator<=>(const permit_wanted &, const permit_wanted &) = default;
+};
+
+struct permit_reply
+{
+    std::uint64_t number = 0;
+    bool granted = false;
+    /// When to ask again, if denied.
+    core::duration retryIn{};
+
+    friend auto operator<=>(const permit_reply &, const permit_reply &) = default;
+};
+
+using message
+    = std::variant<hello, heartbeat, load_wanted, adapter_missing, engine_state,
+                   operator_records_wanted, operator_records, adapter_running, endpoint_records,
+                   operator_end, fleet_records, domain_summary, permit_wanted, permit_reply>;
 
 } // namespace corneltally::fleet
--- a/corneltally/fleet/mesh_service.cpp
+++ b/corneltally/fleet/mesh_service.cpp
@@ -179,6 +179,8 @@
     if (known.description != inMember) {
         known.description = inMember;
         known.link = {};
+        // The instance may have started with another release.
+        known.protocol = 0;
         mInstancesChanged = true;
     }
 }
@@ -308,6 +310,7 @@
                  false);
     known_instance &known = mInstances.at(inHello.instance);
     known.sendsToAll = inHello.protocol == 0;
+    known.protocol = inHello.protocol;
     mInstancesChanged = true;
     // The answer lets an instance that knows only its seeds find this one.
     if (isNew && !known.link.connection)
@@ -372,6 +375,7 @@
         // An outdated summary lists an earlier incarnation of a restarted instance.
         if (known.description.incarnation != entry.incarnation || known.sendsToAll)
             continue;
+        known.protocol = std::max(known.protocol, entry.protocol);
         setLive(entry.instance, known, now);
         listed.insert(entry.instance);
     }
@@ -400,7 +404,7 @@
         publishInstances();
     // Instances that send to all are not summarized.
     if (isLocal(known) && !known.sendsToAll) {
-        mSummary.heartbeatReceived(known.description, inHeartbeat, now);
+        mSummary.heartbeatReceived(known.description, inHeartbeat, now, known.protocol);
         if (mReader && mReader->reads)
             mRegistry.post("catalog",
                            catalog::local_peer_heard{inInstance, known.description.incarnation,
@@ -500,7 +504,8 @@
                    .adaptersRunning = inPart.adaptersRunning,
                    .pauses = inPart.pauses,
                    .quarantine = inPart.quarantine,
-                   .leaving = inPart.leaving};
+                   .leaving = inPart.leaving,
+                   .cold = inPart.cold};
     const core::time_point now = core::boot_clock::now();
     beat.sentAt = now;
     beat.storeFailing = mStoreFailing;
@@ -558,7 +563,12 @@
     const std::string bytes = encode(inSend.body, core::boot_clock::now());
     if (const auto *state = std::get_if<engine_state>(&inSend.body))
         mSummary.engineStateReceived(mOptions.self.instance, *state);
+    // A release before permits closes a connection on which it receives a message about them.
+    const bool isPermit = std::holds_alternative<permit_wanted>(inSend.body)
+        || std::holds_alternative<permit_reply>(inSend.body);
     for (auto &[name, known] : mInstances) {
+        if (isPermit && known.protocol < cPermitProtocol)
+            continue;
         if (inSend.instance.empty() ? exchangesHeartbeats(known) : inSend.instance == name)
             sendTo(known, bytes);
     }
--- a/corneltally/fleet/mesh_service.h
+++ b/corneltally/fleet/mesh_service.h
@@ -83,6 +83,8 @@
         bool live = false;
         /// Whether the instance runs a release that exchanges heartbeats with all instances.
         bool sendsToAll = false;
+        /// Version of the exchange that the instance supports, by its first message or a summary.
+        std::uint16_t protocol = 0;
         /// Whether the instance reported that its reads of the store fail.
         bool storeFailing = false;
     };
--- a/corneltally/fleet/summary_builder.cpp
+++ b/corneltally/fleet/summary_builder.cpp
@@ -1,17 +1,19 @@
 #include "corneltally/fleet/summary_builder.h"
 
+#include <algorithm>
 #include <set>
 
 namespace corneltally::fleet {
 
 void summary_builder::heartbeatReceived(const member &inInstance, const heartbeat &inHeartbeat,
-                                        core::time_point inNow)
+                                        core::time_point inNow, std::uint16_t inProtocol)
 {
     instance_state &state = mInstances[inInstance.instance];
     if (state.description.incarnation != inInstance.incarnation)
         state.totals.clear();
     state.description = inInstance;
     state.last = inHeartbeat;
+    state.protocol = inProtocol;
     for (const limits::account_use &use : inHeartbeat.accountUses) {
         account_total &known = state.totals[use.account];
         if (known.amount == use.amount)
@@ -44,8 +46,8 @@
     std::set<engines::adapter_digest> running;
     for (const auto &[name, state] : mInstances) {
         summarized_instance entry{state.description.instance, state.description.machine,
-                                  state.description.address, state.description.incarnation,
-                                  state.last.draining};
+                                  state.description.address,  state.description.incarnation,
+                                  state.last.draining,        state.protocol};
         for (const auto &[account, total] : state.totals) {
             if (summary.hasAllTotals || inNow - total.changedAt <= sChangeRetention)
                 entry.accountUses.push_back({account, total.amount});
@@ -59,6 +61,10 @@
         }
         running.insert(state.last.adaptersRunning.begin(), state.last.adaptersRunning.end());
         summary.quarantine.merge(state.last.quarantine);
+        for (const auto &[start, remaining] : state.last.cold) {
+            core::duration &longest = summary.cold[start];
+            longest = std::max(longest, remaining);
+        }
     }
     summary.adaptersRunning.assign(running.begin(), running.end());
     for (const auto &[endpoint, engine] : mEngines)
--- a/corneltally/fleet/summary_builder.h
+++ b/corneltally/fleet/summary_builder.h
@@ -29,7 +29,7 @@
 
     /// Replaces the state of an instance of the domain, this one included.
     void heartbeatReceived(const member &inInstance, const heartbeat &inHeartbeat,
-                           core::time_point inNow);
+                           core::time_point inNow, std::uint16_t inProtocol = cProtocol);
 
     /// Drops the state of an instance that is no longer live.
     void instanceLost(const std::string &inInstance) { mInstances.erase(inInstance); }
@@ -54,6 +54,7 @@
     {
         member description;
         heartbeat last;
+        std::uint16_t protocol = cProtocol;
         std::map<std::string, account_total> totals;
     };
 
--- a/corneltally/forwarding/forward_context.h
+++ b/corneltally/forwarding/forward_context.h
@@ -4,6 +4,7 @@
 #include "corneltally/engines/endpoint_choice.h"
 #include "corneltally/engines/endpoint_table.h"
 #include "corneltally/fleet/fleet_messages.h"
+#include "corneltally/forwarding/permit_requests.h"
 #include "corneltally/http1/connection_pool.h"
 #include "corneltally/limits/fleet_allowance.h"
 #include "corneltally/limits/fleet_retry_budget.h"
@@ -58,6 +59,8 @@
     /// A stopping instance refuses streams if it has less time left. Typical streams take up to
     /// 6 s.
     core::duration minStreamTime = std::chrono::milliseconds(5000);
+    /// Whether cold endpoints receive requests only with permits.
+    bool limitsCold = false;
     engines::choice_options choice;
 };
 
@@ -82,6 +85,7 @@
     std::vector<engines::adapter_digest> adapterUses;
     /// Longest pause of each answer that ended since the last heartbeat.
     std::vector<fleet::answer_pause> pauses;
+    permit_requests permits;
     /// When the requests of this instance are ended; set while it is stopping.
     std::optional<core::time_point> stopAt;
 };
--- a/corneltally/forwarding/forwarded_request.cpp
+++ b/corneltally/forwarding/forwarded_request.cpp
@@ -63,10 +63,12 @@
     , mTable(ioContext.table)
     , mDeadline(ioContext.loop, [this] { deadlineExpired(); })
     , mAdapterTimer(ioContext.loop, [this] { adapterTimerExpired(); })
+    , mPermitTimer(ioContext.loop, [this] { permitTimerExpired(); })
 { }
 
 forwarded_request::~forwarded_request()
 {
+    forgetPermit();
     uncountWaiting();
     uncountLoad();
 }
@@ -205,8 +207,8 @@
 
 void forwarded_request::partsQuarantined()
 {
-    const bool isUnanswered
-        = mState == state::waiting || (mState == state::sent && !mFirstByteAt && !mAnswerStarted);
+    const bool isUnanswered = mState == state::waiting || mState == state::awaiting_permit
+        || (mState == state::sent && !mFirstByteAt && !mAnswerStarted);
     if (!isUnanswered || mIsProbe
         || mContext.quarantine.admit(mPartChain, core::boot_clock::now())
             == quarantine::part_quarantine::admission::allowed)
@@ -218,6 +220,7 @@
             target->health.abandoned();
     }
     cancelAttempt();
+    forgetPermit();
     uncountWaiting();
     admitParts();
 }
@@ -238,9 +241,13 @@
 {
     const core::time_point now = core::boot_clock::now();
     uncountWaiting();
+    forgetPermit();
     mState = state::received;
     if (!admitParts())
         return;
+    mWork.targetTime = mRoute->targetLatency > core::duration::zero()
+        ? std::min<core::duration>(timeLeft(), mRequest.arrived + mRoute->targetLatency - now)
+        : timeLeft();
     const auto named = mContext.namedVersions.find(engines::adapterKey(mWork.model, mWork.adapter));
     mWork.version = named == mContext.namedVersions.end() ? 0 : named->second;
     const auto choice = engines::chooseEndpoint(mContext.endpoints, mWork, mContext.failureDomain,
@@ -272,11 +279,9 @@
     sendOrAwaitAdapter();
 }
 
-void forwarded_request::send()
+void forwarded_request::sendNow()
 {
     const core::time_point now = core::boot_clock::now();
-    mAdapterTimer.cancel();
-    uncountWaiting();
     engines::endpoint &target = *mContext.endpoints.find(mChoice.endpoint);
     mState = state::sent;
     mSentAt = now;
@@ -323,7 +328,8 @@
                           },
                       .onHead = [this](const http1::response_head &inHead) { headArrived(inHead); },
                       .onBody = [this](std::string_view inData) { return bodyArrived(inData); },
-                      .onEnd = [this](const http1::exchange_end &inEnd) { exchangeEnded(inEnd); }});
+                      .onEnd = [this](const http1::exchange_end &inEnd) { exchangeEnded(inEnd); }},
+                     mPermitEnd);
 }
 
 /// The endpoint of the current attempt; null if it has restarted since or is gone.
@@ -427,6 +433,13 @@
     using kind = http1::exchange_end::kind;
     if (inEnd.outcome != kind::complete) {
         mUpstream.reset();
+        if (inEnd.outcome == kind::not_begun) {
+            permitUnused();
+            return;
+        }
+        if (!mHeadReceived)
+            mContext.endpoints.expectColdAfterLoss(mChoice.endpoint, mEndpointStart,
+                                                   core::boot_clock::now());
         if (inEnd.sent && inEnd.connectionLost)
             endpointLost();
         attemptEnded(inEnd.sent ? attempt_result::broken : attempt_result::not_sent, inEnd.reason);
@@ -553,6 +566,9 @@
     if (mState == state::sent) {
         if (engines::endpoint *target = currentTarget())
             target->health.failed(core::boot_clock::now());
+        if (!mHeadReceived)
+            mContext.endpoints.expectColdAfterLoss(mChoice.endpoint, mEndpointStart,
+                                                   core::boot_clock::now());
     }
     endUnfinished("the time is over");
 }
--- a/corneltally/forwarding/forwarded_request.h
+++ b/corneltally/forwarding/forwarded_request.h
@@ -2,6 +2,7 @@
 
 #include "corneltally/core/boot_clock.h"
 #include "corneltally/engines/endpoint_choice.h"
+#include "corneltally/fleet/fleet_messages.h"
 #include "corneltally/forwarding/attempt_rules.h"
 #include "corneltally/forwarding/event_splitter.h"
 #include "corneltally/http1/client_connection.h"
@@ -43,7 +44,7 @@
     void callerDrained();
 
     /// Called when the known state of an endpoint changed. Only a request that waits for an adapter
-    /// there reacts.
+    /// or a permit there reacts.
     void endpointChanged(std::string_view inEndpoint);
 
     /// Called when parts were quarantined. Ends the request if it has one of them and no event was
@@ -55,11 +56,12 @@
 
     bool isWaitingFor(std::string_view inEndpoint) const
     {
-        return mState == state::waiting && mChoice.endpoint == inEndpoint;
+        return (mState == state::waiting || mState == state::awaiting_permit)
+            && mChoice.endpoint == inEndpoint;
     }
 
 private:
-    enum class state { received, waiting, sent, answering, done };
+    enum class state { received, waiting, awaiting_permit, sent, answering, done };
 
     bool resolveRoute();
     bool admit();
@@ -69,6 +71,12 @@
     void sendOrAwaitAdapter();
     void requestAdapterLoad();
     void send();
+    void sendNow();
+    void permitReplied(const fleet::permit_reply &inReply);
+    void permitTimerExpired();
+    void permitExpired(std::string_view inOutcome);
+    void permitUnused();
+    void forgetPermit();
     void attemptEnded(attempt_result inResult, std::string_view inReason);
     void headArrived(const http1::response_head &inHead);
     bool bodyArrived(std::string_view inData);
@@ -129,10 +137,15 @@
     std::uint64_t mEndpointStart = 0;
     kernel::timer mDeadline;
     kernel::timer mAdapterTimer;
+    kernel::timer mPermitTimer;
     core::time_point mAnswerDeadline;
     core::time_point mCallerDeadline;
     core::time_point mWaitingSince;
     core::time_point mSentAt;
+    std::uint64_t mPermitNumber = 0;
+    core::time_point mPermitAskedAt;
+    /// Until when the permit of the current attempt may be used; empty if it needs none.
+    std::optional<core::time_point> mPermitEnd;
     std::optional<core::time_point> mFirstByteAt;
     core::time_point mLastByteAt;
     core::duration mLongestPause{};
--- a/corneltally/forwarding/forwarded_request_adapter.cpp
+++ b/corneltally/forwarding/forwarded_request_adapter.cpp
@@ -108,8 +108,15 @@
 
 void forwarded_request::endpointChanged(std::string_view inEndpoint)
 {
-    if (isWaitingFor(inEndpoint))
+    if (!isWaitingFor(inEndpoint))
+        return;
+    if (mState == state::waiting) {
         sendOrAwaitAdapter();
+        return;
+    }
+    const engines::endpoint *target = currentTarget();
+    if (target == nullptr || !mContext.endpoints.usable(*target, core::boot_clock::now()))
+        chooseAndSend();
 }
 
 void forwarded_request::adapterTimerExpired()
--- a/corneltally/forwarding/forwarded_request_answer.cpp
+++ b/corneltally/forwarding/forwarded_request_answer.cpp
@@ -69,6 +69,9 @@
     const engines::endpoint_noticed noticed{mChoice.endpoint, mEndpointStart,
                                             platform::decodeNotice(inHead.status, inHead.fields)};
     mAnswerAsksPause = noticed.notice.pause.has_value();
+    if (mAnswer.coldLeft && !mAnswer.misdirected)
+        mContext.endpoints.applyColdAnswer(mChoice.endpoint, mEndpointStart, *mAnswer.coldLeft,
+                                           mSentAt, core::boot_clock::now());
     if (mContext.endpoints.applyNotice(noticed.endpoint, noticed.startedMs, noticed.notice,
                                        core::boot_clock::now()))
         mContext.registry.broadcast(noticed);
@@ -226,23 +229,26 @@
     refuse(503, inReason, retryAfter());
 }
 
-/// Refuses the request since no endpoint takes it now. If all of them asked for a pause, the caller
-/// is told when they come back.
+/// Refuses the request since no endpoint takes it now. If those that are left are cold, or all
+/// asked for a pause, the caller is told when they come back.
 void forwarded_request::refuseUnserved(std::string_view inReason)
 {
     const core::time_point now = core::boot_clock::now();
-    const auto ends = mContext.endpoints.pauseEnds(mService->name, now);
+    const auto permits = mContext.endpoints.permitTimes(mService->name, now);
+    const auto ends = permits ? permits : mContext.endpoints.pauseEnds(mService->name, now);
     if (!ends) {
         refuseBusy(inReason);
         return;
     }
+    if (permits)
+        mContext.metrics.count("requests_without_permit_total");
     // Callers return spread over the time in which the endpoints do.
     const core::duration first = ends->first - now;
     const core::duration spread = ends->second - ends->first;
     const core::duration own = retryAfter();
     const double fraction = std::chrono::duration<double>(own - mContext.settings.minRetryAfter)
         / std::chrono::duration<double>(mContext.settings.retryAfterSpread);
-    refuse(503, "all endpoints asked for a pause",
+    refuse(503, permits ? "the endpoints are cold" : "all endpoints asked for a pause",
            first + std::chrono::duration_cast<core::duration>(spread * fraction) + own);
 }
 
@@ -267,6 +273,7 @@
     uncountWaiting();
     mDeadline.cancel();
     mAdapterTimer.cancel();
+    forgetPermit();
     mContext.metrics.count("requests_total{outcome=\"" + std::string(inOutcome) + "\"}");
     mContext.metrics.observe("request_seconds", now - mRequest.arrived);
     if (mFirstByteAt)
--- a/corneltally/forwarding/front_service.cpp
+++ b/corneltally/forwarding/front_service.cpp
@@ -40,6 +40,8 @@
                .quarantine = quarantine::part_quarantine(mOptions.instance),
                .namedVersions = {},
                .adapterUses = {},
+               .pauses = {},
+               .permits = {},
                .stopAt = {}}
     , mPruneTimer(ioRegistry.loop(), [this] { prune(); })
     , mListener(ioRegistry.loop(), [this](int inSocket) { accept(inSocket); })
@@ -85,6 +87,10 @@
         cName, [this](const orders::held_engine_changed &inChanged) {
             engineStateReceived(mOptions.instance, inChanged.state);
         });
+    ioRegistry.handle<orders::local_permit_reply>(
+        cName, [this](const orders::local_permit_reply &inLocal) {
+            mContext.permits.replied(inLocal.reply);
+        });
     ioRegistry.handle<fleet::mesh_received>(
         cName, [this](const fleet::mesh_received &inReceived) { meshReceived(inReceived); });
     ioRegistry.handle<fleet::domain_summary_received>(
@@ -250,6 +256,12 @@
         mContext.allowance.configure(account.name, account.ratePerSecond, account.burst, now);
     }
     mContext.allowance.retainAccounts(names);
+    std::map<std::string, core::duration, std::less<>> coldTimes;
+    for (const routing::service &service : inChanged.table->source().services) {
+        if (mContext.settings.limitsCold && service.coldPerSecond > 0)
+            coldTimes.emplace(service.name, service.coldTime);
+    }
+    mContext.endpoints.setColdTimes(std::move(coldTimes));
     for (auto &[id, entry] : mCallers)
         entry.connection->setLimits(inChanged.table->source().limits);
 }
@@ -319,6 +331,27 @@
                        {{"endpoint", id}, {"pause_ms", length.count() / 1000}});
 }
 
+/// Logs which endpoints became cold or warm since the last call.
+void front_service::reportCold()
+{
+    const core::time_point now = core::boot_clock::now();
+    const auto inMs = [](core::duration inDuration) {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(inDuration).count();
+    };
+    for (const engines::cold_change &change : mContext.endpoints.takeColdChanges(now)) {
+        mColdEndpoints += change.cold ? 1 : -1;
+        core::logEvent(core::log_level::info, change.cold ? "endpoint_cold" : "endpoint_warm",
+                       {{"endpoint", change.endpoint},
+                        {"source", toString(change.source)},
+                        {"age_ms", inMs(change.age)},
+                        {"cold_ms", inMs(change.remaining)}});
+        if (change.cold)
+            mContext.metrics.count("endpoints_cold_total{source=\""
+                                   + std::string(toString(change.source)) + "\"}");
+        mContext.metrics.setGauge("cold_endpoints", mColdEndpoints);
+    }
+}
+
 void front_service::engineStateReceived(const std::string &inHolder,
                                         const fleet::engine_state &inState)
 {
@@ -343,7 +376,10 @@
                                            beat->accountUses, true, now);
         quarantineReported(beat->quarantine);
         peerSaysLeaving(inReceived.instance, beat->leaving);
+        mContext.endpoints.applyPeerCold(beat->cold, now);
         messageReceived();
+    } else if (const auto *reply = std::get_if<fleet::permit_reply>(&inReceived.body)) {
+        mContext.permits.replied(*reply);
     }
 }
 
@@ -363,6 +399,7 @@
     for (const fleet::summarized_engine &engine : inSummary.engines)
         engineStateReceived(engine.holder, engine.state);
     quarantineReported(inSummary.quarantine);
+    mContext.endpoints.applyPeerCold(inSummary.cold, now);
     messageReceived();
 }
 
@@ -424,6 +461,8 @@
     }
     part.adapterUses = std::exchange(mContext.adapterUses, {});
     part.pauses = std::exchange(mContext.pauses, {});
+    part.cold = mContext.endpoints.ownColdReports(core::boot_clock::now());
+    reportCold();
     updateQuarantine();
     part.quarantine = mContext.quarantine.report();
     mContext.registry.post("orders",
--- a/corneltally/forwarding/front_service.h
+++ b/corneltally/forwarding/front_service.h
@@ -98,6 +98,7 @@
     void endpointNoticed(const engines::endpoint_noticed &inNoticed);
     void peerSaysLeaving(const std::string &inInstance, const std::set<std::uint64_t> &inStarts);
     void prune();
+    void reportCold();
     void quarantineReported(const quarantine::quarantine_state &inState);
     void updateQuarantine();
     void destroyLater(std::unique_ptr<forwarded_request> inRequest,
@@ -117,6 +118,7 @@
     bool mHasPeers = false;
     bool mHasHeardPeer = false;
     std::size_t mRunning = 0;
+    int mColdEndpoints = 0;
     bool mEndpointsListed = false;
     bool mDraining = false;
 };
--- a/corneltally/forwarding/instance.cpp
+++ b/corneltally/forwarding/instance.cpp
@@ -146,6 +146,7 @@
                               .bodyBudgetBytes = bodyBudgetBytes(mSettings)};
         options.settings.choice.adapterLoad = milliseconds(mSettings.adapterLoadMs);
         options.settings.choice.promptTokensPerMs = mSettings.promptTokensPerMs;
+        options.settings.limitsCold = mSettings.coldOver > 0;
         return options;
     }
 
@@ -170,6 +171,8 @@
                                       .failureDomain = mSettings.failureDomain};
         options.claims.handoverPause = milliseconds(mSettings.holderPauseMs);
         options.controller.adapterLoad = milliseconds(mSettings.adapterLoadMs);
+        options.coldOver = mSettings.coldOver;
+        options.coldSlack = mSettings.coldSlack;
         return options;
     }
 
--- a/corneltally/http1/client_connection.cpp
+++ b/corneltally/http1/client_connection.cpp
@@ -1,5 +1,6 @@
 #include "corneltally/http1/client_connection.h"
 
+#include <algorithm>
 #include <cassert>
 #include <charconv>
 #include <utility>
@@ -36,22 +37,48 @@
 client_connection::client_connection(kernel::event_loop &inLoop, const address &inTarget,
                                      core::duration inDataTimeout)
     : mStream(inLoop, inTarget, inDataTimeout)
-    , mConnectTimer(inLoop, [this] { streamEnded(stream_end::failed); })
+    , mConnectTimer(inLoop, [this] { connectTimeExpired(); })
     , mTarget(inTarget)
     , mLastInput(core::boot_clock::now())
 {
     mConnectTimer.startOnce(cConnectTime);
-    mStream.setEvents({.onConnected =
-                           [this] {
-                               mConnected = true;
-                               mConnectTimer.cancel();
-                           },
+    mStream.setEvents({.onConnected = [this] { connected(); },
                        .onInput = [this] { readInput(); },
                        .onDrained = {},
                        .onEnd = [this](stream_end inEnd) { streamEnded(inEnd); }});
 }
 
-void client_connection::start(const request_head &inHead, std::string_view inBody, events inEvents)
+void client_connection::connected()
+{
+    mConnected = true;
+    mConnectTimer.cancel();
+    if (mRunning && mSendBefore)
+        writeBefore(*mSendBefore);
+}
+
+void client_connection::connectTimeExpired()
+{
+    if (mRunning && mSendBefore && core::boot_clock::now() >= *mSendBefore) {
+        mReusable = false;
+        finish(exchange_end::kind::not_begun, "no connection in time");
+        return;
+    }
+    streamEnded(stream_end::failed);
+}
+
+void client_connection::writeBefore(core::time_point inEnd)
+{
+    if (core::boot_clock::now() < inEnd) {
+        mStream.write(std::exchange(mUnsentRequest, {}));
+        return;
+    }
+    mUnsentRequest.clear();
+    mReusable = false;
+    finish(exchange_end::kind::not_begun, "no connection in time");
+}
+
+void client_connection::start(const request_head &inHead, std::string_view inBody, events inEvents,
+                              std::optional<core::time_point> inSendBefore)
 {
     assert(!mRunning && mReusable);
     mEvents = std::move(inEvents);
@@ -62,6 +89,13 @@
     mSkippedBytes = 0;
     mSentBefore = mStream.sentBytes();
     ++mExchanges;
+    mSendBefore = inSendBefore;
+    if (inSendBefore && !mConnected) {
+        mUnsentRequest = formatHead(inHead).append(inBody);
+        mConnectTimer.startOnce(
+            std::clamp(*inSendBefore - core::boot_clock::now(), core::duration(1), cConnectTime));
+        return;
+    }
     mStream.write(formatHead(inHead));
     mStream.write(inBody);
 }
--- a/corneltally/http1/client_connection.h
+++ b/corneltally/http1/client_connection.h
@@ -23,6 +23,8 @@
         not_connected,
         /// The connection ended early, or the received bytes are not a valid response.
         broken,
+        /// The connection was not ready before the request had to be sent.
+        not_begun,
     };
 
     kind outcome = kind::broken;
@@ -53,8 +55,10 @@
     client_connection(kernel::event_loop &inLoop, const address &inTarget,
                       core::duration inDataTimeout);
 
-    /// Sends a request. The head must contain the fields that frame the body.
-    void start(const request_head &inHead, std::string_view inBody, events inEvents);
+    /// Sends a request. The head must contain the fields that frame the body. With inSendBefore
+    /// nothing is sent from that time on; the exchange then ends as not_begun, later.
+    void start(const request_head &inHead, std::string_view inBody, events inEvents,
+               std::optional<core::time_point> inSendBefore = std::nullopt);
 
     /// Whether another exchange may start on this connection.
     bool reusable() const { return mReusable && mStream.isOpen(); }
@@ -74,6 +78,9 @@
     void setReading(bool inReading) { mStream.setReading(inReading); }
 
 private:
+    void connected();
+    void connectTimeExpired();
+    void writeBefore(core::time_point inEnd);
     void readInput();
     bool deliver(std::size_t inParsedBytes);
     bool skip(std::size_t inBytes);
@@ -87,6 +94,9 @@
     address mTarget;
     events mEvents;
     std::optional<message_parser> mParser;
+    /// Request that is sent once connected, unless mSendBefore has passed.
+    std::string mUnsentRequest;
+    std::optional<core::time_point> mSendBefore;
     bool mRunning = false;
     bool mConnected = false;
     bool mReusable = true;
--- a/corneltally/orders/order_messages.h
+++ b/corneltally/orders/order_messages.h
@@ -33,6 +33,17 @@
     std::vector<engines::adapter_digest> running;
 };
 
+/// A request of this instance needs a permit for an endpoint that this instance holds, and the
+/// reply.
+struct local_permit_wanted
+{
+    fleet::permit_wanted wanted;
+};
+struct local_permit_reply
+{
+    fleet::permit_reply reply;
+};
+
 /// The state of an engine that this instance holds changed, or is repeated.
 struct held_engine_changed
 {
--- a/corneltally/orders/order_service.cpp
+++ b/corneltally/orders/order_service.cpp
@@ -141,8 +141,16 @@
             if (beat->receiverLive)
                 mClaims.reportedLiveBy(inReceived.instance, core::boot_clock::now());
             adaptersUsed(inReceived.instance, beat->adapterUses, beat->adaptersRunning);
+        } else if (const auto *permit = std::get_if<fleet::permit_wanted>(&inReceived.body)) {
+            mRegistry.post("mesh",
+                           fleet::mesh_send{inReceived.instance,
+                                            permitRequested(*permit, inReceived.instance)});
         }
     });
+    mRegistry.handle<local_permit_wanted>(cName, [this](const local_permit_wanted &inLocal) {
+        mRegistry.post("front",
+                       local_permit_reply{permitRequested(inLocal.wanted, mOptions.self.instance)});
+    });
     mRegistry.handle<local_load_wanted>(
         cName, [this](const local_load_wanted &inLocal) { loadRequested(inLocal.wanted, "self"); });
     mRegistry.handle<local_adapter_missing>(
@@ -199,7 +207,9 @@
     mTopicLoaded = true;
     for (const auto &[engine, domain] : knownEngines()) {
         const bool holds = mClaims.holds(engine);
-        if (holds && !mHeld.contains(engine)) {
+        if (holds && coldServiceOf(engine) != nullptr)
+            mHeldCold.insert(engine);
+        if (holds && !mHeld.contains(engine) && profileOf(mEntries.at(engine)) != nullptr) {
             mHeld.emplace(engine, held_engine{engine_controller(engine, mOptions.controller)});
             configureEngine(engine);
         } else if (!holds) {
@@ -219,7 +229,7 @@
 {
     std::vector<fleet::fleet_node> engines;
     for (const auto &[id, entry] : mEntries) {
-        if (profileOf(entry) != nullptr)
+        if (profileOf(entry) != nullptr || coldServiceOf(id) != nullptr)
             engines.push_back({id, entry.failureDomain});
     }
     return engines;
@@ -428,6 +438,7 @@
     const core::time_point now = core::boot_clock::now();
     updatePollWait(now);
     claimEngines(now);
+    advancePermits(now);
     for (auto &[engine, state] : mHeld) {
         advanceEngine(engine, state, now);
         const engines::endpoint_condition *condition
--- a/corneltally/orders/order_service.h
+++ b/corneltally/orders/order_service.h
@@ -7,6 +7,7 @@
 #include "corneltally/http1/fetcher.h"
 #include "corneltally/kernel/service.h"
 #include "corneltally/kernel/timer.h"
+#include "corneltally/orders/cold_permits.h"
 #include "corneltally/orders/engine_controller.h"
 #include "corneltally/orders/order_messages.h"
 
@@ -35,6 +36,10 @@
     std::string failureDomain;
     fleet::claim_options claims;
     controller_options controller;
+    /// Requests that a cold endpoint may receive in a second: a multiple of what it sustains, and
+    /// additional ones. Without the factor no permits are needed.
+    double coldOver = 0;
+    double coldSlack = 0;
 };
 
 /// Claims engines, gives orders to the engines that this instance holds, and reports their adapters
@@ -105,6 +110,12 @@
     bool takesOrders(const std::string &inEngine, const held_engine &inHeld,
                      core::time_point inNow) const;
     std::vector<fleet::fleet_node> knownEngines() const;
+    fleet::permit_reply permitRequested(const fleet::permit_wanted &inWanted,
+                                        const std::string &inFrom);
+    void advancePermits(core::time_point inNow);
+    const routing::service *coldServiceOf(const std::string &inEndpoint) const;
+    cold_permits::authority authorityOver(const std::string &inEndpoint,
+                                          core::time_point inNow) const;
     const routing::engine_profile *profileOf(const engines::endpoint_entry &inEntry) const;
 
     kernel::service_registry &mRegistry;
@@ -116,6 +127,11 @@
     std::shared_ptr<const routing::routing_table> mTable;
     std::map<std::string, engines::endpoint_entry> mEntries;
     std::map<std::string, held_engine> mHeld;
+    /// Endpoints that this instance holds whose service limits requests to cold ones.
+    std::set<std::string> mHeldCold;
+    cold_permits mPermits;
+    /// States of plain endpoints that this instance holds, and when they were sent.
+    std::map<std::string, std::pair<fleet::engine_state, core::time_point>> mPlainStates;
     /// Conditions of engines that said something. They outlast the engines' entries, which may
     /// lapse and come back.
     std::map<std::string, noted_condition> mConditions;
--- a/corneltally/routing/request_terms.h
+++ b/corneltally/routing/request_terms.h
@@ -53,6 +53,8 @@
     bool sealed = false;
     /// The answer carries the id of its request.
     bool namesRequest = false;
+    /// How much longer the endpoint is cold, if stated.
+    std::optional<std::chrono::milliseconds> coldLeft;
 
     friend auto operator<=>(const answer_terms &, const answer_terms &) = default;
 };
--- a/corneltally/routing/service.h
+++ b/corneltally/routing/service.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <compare>
 #include <optional>
 #include <string>
@@ -41,6 +42,10 @@
     int maxConnections = 0;
     /// Present if the endpoints are language-model engines.
     std::optional<engine_profile> engine;
+    /// How long an endpoint is cold after its start, and the requests per second that it sustains
+    /// meanwhile; without the latter endpoints never count as cold.
+    std::chrono::milliseconds coldTime{};
+    double coldPerSecond = 0;
 
     friend auto operator<=>(const service &, const service &) = default;
 };
--- a/corneltally/settings/forwarding_settings.cpp
+++ b/corneltally/settings/forwarding_settings.cpp
@@ -47,6 +47,8 @@
          &self::adapterLoadMs},
         {{"engines", false, {"prompt_tokens_per_ms", number, "tokens/ms", "40", 0.01, 1e6, ""}},
          &self::promptTokensPerMs},
+        {{"cold", false, {"over", number, "", "0", 0, 1000, ""}}, &self::coldOver},
+        {{"cold", false, {"slack", number, "requests", "0", 0, 1e6, ""}}, &self::coldSlack},
     };
     return sKeys;
 }
--- a/corneltally/settings/forwarding_settings.h
+++ b/corneltally/settings/forwarding_settings.h
@@ -40,6 +40,10 @@
     /// Adapter load time and prefill speed, for estimates.
     std::int64_t adapterLoadMs = 250;
     double promptTokensPerMs = 40;
+    /// Requests that a cold endpoint may receive in a second: a multiple of what it sustains, and
+    /// additional ones. Without the factor the rule is not in force.
+    double coldOver = 0;
+    double coldSlack = 0;
 
     /// Parses and checks a file. On failure the error lists every problem on a line of its own;
     /// outProblems receives them individually.
--- a/schemas/fleet_generated.h
+++ b/schemas/fleet_generated.h
@@ -42,6 +42,8 @@
 struct QuarantineStateBuilder;
 struct QuarantineStateT;
 
+struct ColdEndpoint;
+
 struct Heartbeat;
 struct HeartbeatBuilder;
 struct HeartbeatT;
@@ -104,6 +106,14 @@
 struct OperatorEndBuilder;
 struct OperatorEndT;
 
+struct PermitWanted;
+struct PermitWantedBuilder;
+struct PermitWantedT;
+
+struct PermitReply;
+struct PermitReplyBuilder;
+struct PermitReplyT;
+
 struct Envelope;
 struct EnvelopeBuilder;
 struct EnvelopeT;
@@ -123,11 +133,13 @@
   DomainSummary = 11,
   FleetRecords = 12,
   OperatorEnd = 13,
+  PermitWanted = 14,
+  PermitReply = 15,
   MIN = NONE,
-  MAX = OperatorEnd
+  MAX = PermitReply
 };
 
-inline const Body (&EnumValuesBody())[14] {
+inline const Body (&EnumValuesBody())[16] {
   static const Body values[] = {
     Body::NONE,
     Body::Hello,
@@ -142,13 +154,15 @@
     Body::OperatorRecords,
     Body::DomainSummary,
     Body::FleetRecords,
-    Body::OperatorEnd
+    Body::OperatorEnd,
+    Body::PermitWanted,
+    Body::PermitReply
   };
   return values;
 }
 
 inline const char * const *EnumNamesBody() {
-  static const char * const names[15] = {
+  static const char * const names[17] = {
     "NONE",
     "Hello",
     "Heartbeat",
@@ -163,13 +177,15 @@
     "DomainSummary",
     "FleetRecords",
     "OperatorEnd",
+    "PermitWanted",
+    "PermitReply",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameBody(Body e) {
-  if (flatbuffers::IsOutRange(e, Body::NONE, Body::OperatorEnd)) return "";
+  if (flatbuffers::IsOutRange(e, Body::NONE, Body::PermitReply)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesBody()[index];
 }
@@ -230,6 +246,14 @@
   static const Body enum_value = Body::OperatorEnd;
 };
 
+template<> struct BodyTraits<corneltally::fleet_wire::PermitWanted> {
+  static const Body enum_value = Body::PermitWanted;
+};
+
+template<> struct BodyTraits<corneltally::fleet_wire::PermitReply> {
+  static const Body enum_value = Body::PermitReply;
+};
+
 template<typename T> struct BodyUnionTraits {
   static const Body enum_value = Body::NONE;
 };
@@ -286,6 +310,14 @@
   static const Body enum_value = Body::OperatorEnd;
 };
 
+template<> struct BodyUnionTraits<corneltally::fleet_wire::PermitWantedT> {
+  static const Body enum_value = Body::PermitWanted;
+};
+
+template<> struct BodyUnionTraits<corneltally::fleet_wire::PermitReplyT> {
+  static const Body enum_value = Body::PermitReply;
+};
+
 struct BodyUnion {
   Body type;
   void *value;
@@ -420,6 +452,22 @@
     return type == Body::OperatorEnd ?
       reinterpret_cast<const corneltally::fleet_wire::OperatorEndT *>(value) : nullptr;
   }
+  corneltally::fleet_wire::PermitWantedT *AsPermitWanted() {
+    return type == Body::PermitWanted ?
+      reinterpret_cast<corneltally::fleet_wire::PermitWantedT *>(value) : nullptr;
+  }
+  const corneltally::fleet_wire::PermitWantedT *AsPermitWanted() const {
+    return type == Body::PermitWanted ?
+      reinterpret_cast<const corneltally::fleet_wire::PermitWantedT *>(value) : nullptr;
+  }
+  corneltally::fleet_wire::PermitReplyT *AsPermitReply() {
+    return type == Body::PermitReply ?
+      reinterpret_cast<corneltally::fleet_wire::PermitReplyT *>(value) : nullptr;
+  }
+  const corneltally::fleet_wire::PermitReplyT *AsPermitReply() const {
+    return type == Body::PermitReply ?
+      reinterpret_cast<const corneltally::fleet_wire::PermitReplyT *>(value) : nullptr;
+  }
 };
 
 bool VerifyBody(flatbuffers::Verifier &verifier, const void *obj, Body type);
@@ -614,6 +662,34 @@
   using type = QuarantinedPart;
 };
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) ColdEndpoint FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t start_;
+  int64_t remaining_us_;
+
+ public:
+  struct Traits;
+  ColdEndpoint()
+      : start_(0),
+        remaining_us_(0) {
+  }
+  ColdEndpoint(uint64_t _start, int64_t _remaining_us)
+      : start_(flatbuffers::EndianScalar(_start)),
+        remaining_us_(flatbuffers::EndianScalar(_remaining_us)) {
+  }
+  uint64_t start() const {
+    return flatbuffers::EndianScalar(start_);
+  }
+  int64_t remaining_us() const {
+    return flatbuffers::EndianScalar(remaining_us_);
+  }
+};
+FLATBUFFERS_STRUCT_END(ColdEndpoint, 16);
+
+struct ColdEndpoint::Traits {
+  using type = ColdEndpoint;
+};
+
 FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) InstanceTotal FLATBUFFERS_FINAL_CLASS {
  private:
   double amount_;
@@ -1102,6 +1178,7 @@
   bool store_failing = false;
   std::unique_ptr<corneltally::fleet_wire::QuarantineStateT> quarantine{};
   std::vector<uint64_t> leaving{};
+  std::vector<corneltally::fleet_wire::ColdEndpoint> cold{};
   HeartbeatT() = default;
   HeartbeatT(const HeartbeatT &o);
   HeartbeatT(HeartbeatT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1124,7 +1201,8 @@
     VT_SENT_AT_US = 20,
     VT_STORE_FAILING = 22,
     VT_QUARANTINE = 24,
-    VT_LEAVING = 26
+    VT_LEAVING = 26,
+    VT_COLD = 28
   };
   uint64_t operator_end() const {
     return GetField<uint64_t>(VT_OPERATOR_END, 0);
@@ -1162,6 +1240,9 @@
   const flatbuffers::Vector<uint64_t> *leaving() const {
     return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_LEAVING);
   }
+  const flatbuffers::Vector<const corneltally::fleet_wire::ColdEndpoint *> *cold() const {
+    return GetPointer<const flatbuffers::Vector<const corneltally::fleet_wire::ColdEndpoint *> *>(VT_COLD);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_OPERATOR_END, 8) &&
@@ -1184,6 +1265,8 @@
            verifier.VerifyTable(quarantine()) &&
            VerifyOffset(verifier, VT_LEAVING) &&
            verifier.VerifyVector(leaving()) &&
+           VerifyOffset(verifier, VT_COLD) &&
+           verifier.VerifyVector(cold()) &&
            verifier.EndTable();
   }
   HeartbeatT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1231,6 +1314,9 @@
   void add_leaving(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> leaving) {
     fbb_.AddOffset(Heartbeat::VT_LEAVING, leaving);
   }
+  void add_cold(flatbuffers::Offset<flatbuffers::Vector<const corneltally::fleet_wire::ColdEndpoint *>> cold) {
+    fbb_.AddOffset(Heartbeat::VT_COLD, cold);
+  }
   explicit HeartbeatBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1255,10 +1341,12 @@
     int64_t sent_at_us = 0,
     bool store_failing = false,
     flatbuffers::Offset<corneltally::fleet_wire::QuarantineState> quarantine = 0,
-    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> leaving = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> leaving = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const corneltally::fleet_wire::ColdEndpoint *>> cold = 0) {
   HeartbeatBuilder builder_(_fbb);
   builder_.add_sent_at_us(sent_at_us);
   builder_.add_operator_end(operator_end);
+  builder_.add_cold(cold);
   builder_.add_leaving(leaving);
   builder_.add_quarantine(quarantine);
   builder_.add_pauses(pauses);
@@ -1290,13 +1378,15 @@
     int64_t sent_at_us = 0,
     bool store_failing = false,
     flatbuffers::Offset<corneltally::fleet_wire::QuarantineState> quarantine = 0,
-    const std::vector<uint64_t> *leaving = nullptr) {
+    const std::vector<uint64_t> *leaving = nullptr,
+    const std::vector<corneltally::fleet_wire::ColdEndpoint> *cold = nullptr) {
   auto account_uses__ = account_uses ? _fbb.CreateVector<flatbuffers::Offset<corneltally::fleet_wire::AccountUse>>(*account_uses) : 0;
   auto loads__ = loads ? _fbb.CreateVectorOfStructs<corneltally::fleet_wire::EndpointLoad>(*loads) : 0;
   auto adapter_uses__ = adapter_uses ? _fbb.CreateVector<uint64_t>(*adapter_uses) : 0;
   auto adapters_running__ = adapters_running ? _fbb.CreateVector<uint64_t>(*adapters_running) : 0;
   auto pauses__ = pauses ? _fbb.CreateVectorOfStructs<corneltally::fleet_wire::AnswerPause>(*pauses) : 0;
   auto leaving__ = leaving ? _fbb.CreateVector<uint64_t>(*leaving) : 0;
+  auto cold__ = cold ? _fbb.CreateVectorOfStructs<corneltally::fleet_wire::ColdEndpoint>(*cold) : 0;
   return corneltally::fleet_wire::CreateHeartbeat(
       _fbb,
       operator_end,
@@ -1310,7 +1400,8 @@
       sent_at_us,
       store_failing,
       quarantine,
-      leaving__);
+      leaving__,
+      cold__);
 }
 
 flatbuffers::Offset<Heartbeat> CreateHeartbeat(flatbuffers::FlatBufferBuilder &_fbb, const HeartbeatT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1941,6 +2032,7 @@
   std::string address{};
   uint64_t incarnation = 0;
   bool draining = false;
+  uint16_t protocol = 0;
 };
 
 struct SummarizedInstance FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -1952,7 +2044,8 @@
     VT_MACHINE = 6,
     VT_ADDRESS = 8,
     VT_INCARNATION = 10,
-    VT_DRAINING = 12
+    VT_DRAINING = 12,
+    VT_PROTOCOL = 14
   };
   const flatbuffers::String *instance() const {
     return GetPointer<const flatbuffers::String *>(VT_INSTANCE);
@@ -1969,6 +2062,9 @@
   bool draining() const {
     return GetField<uint8_t>(VT_DRAINING, 0) != 0;
   }
+  uint16_t protocol() const {
+    return GetField<uint16_t>(VT_PROTOCOL, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_INSTANCE) &&
@@ -1979,6 +2075,7 @@
            verifier.VerifyString(address()) &&
            VerifyField<uint64_t>(verifier, VT_INCARNATION, 8) &&
            VerifyField<uint8_t>(verifier, VT_DRAINING, 1) &&
+           VerifyField<uint16_t>(verifier, VT_PROTOCOL, 2) &&
            verifier.EndTable();
   }
   SummarizedInstanceT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2005,6 +2102,9 @@
   void add_draining(bool draining) {
     fbb_.AddElement<uint8_t>(SummarizedInstance::VT_DRAINING, static_cast<uint8_t>(draining), 0);
   }
+  void add_protocol(uint16_t protocol) {
+    fbb_.AddElement<uint16_t>(SummarizedInstance::VT_PROTOCOL, protocol, 0);
+  }
   explicit SummarizedInstanceBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2025,12 +2125,14 @@
     flatbuffers::Offset<flatbuffers::String> machine = 0,
     flatbuffers::Offset<flatbuffers::String> address = 0,
     uint64_t incarnation = 0,
-    bool draining = false) {
+    bool draining = false,
+    uint16_t protocol = 0) {
   SummarizedInstanceBuilder builder_(_fbb);
   builder_.add_incarnation(incarnation);
   builder_.add_address(address);
   builder_.add_machine(machine);
   builder_.add_instance(instance);
+  builder_.add_protocol(protocol);
   builder_.add_draining(draining);
   return builder_.Finish();
 }
@@ -2046,7 +2148,8 @@
     const char *machine = nullptr,
     const char *address = nullptr,
     uint64_t incarnation = 0,
-    bool draining = false) {
+    bool draining = false,
+    uint16_t protocol = 0) {
   auto instance__ = instance ? _fbb.CreateString(instance) : 0;
   auto machine__ = machine ? _fbb.CreateString(machine) : 0;
   auto address__ = address ? _fbb.CreateString(address) : 0;
@@ -2056,7 +2159,8 @@
       machine__,
       address__,
       incarnation,
-      draining);
+      draining,
+      protocol);
 }
 
 flatbuffers::Offset<SummarizedInstance> CreateSummarizedInstance(flatbuffers::FlatBufferBuilder &_fbb, const SummarizedInstanceT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -2180,6 +2284,7 @@
   std::vector<corneltally::fleet_wire::AnswerPause> pauses{};
   std::vector<std::unique_ptr<corneltally::fleet_wire::EngineStateT>> engine_states{};
   std::unique_ptr<corneltally::fleet_wire::QuarantineStateT> quarantine{};
+  std::vector<corneltally::fleet_wire::ColdEndpoint> cold{};
   DomainSummaryT() = default;
   DomainSummaryT(const DomainSummaryT &o);
   DomainSummaryT(DomainSummaryT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -2206,7 +2311,8 @@
     VT_ADAPTERS_RUNNING = 28,
     VT_PAUSES = 30,
     VT_ENGINE_STATES = 32,
-    VT_QUARANTINE = 34
+    VT_QUARANTINE = 34,
+    VT_COLD = 36
   };
   const flatbuffers::String *domain() const {
     return GetPointer<const flatbuffers::String *>(VT_DOMAIN);
@@ -2256,6 +2362,9 @@
   const corneltally::fleet_wire::QuarantineState *quarantine() const {
     return GetPointer<const corneltally::fleet_wire::QuarantineState *>(VT_QUARANTINE);
   }
+  const flatbuffers::Vector<const corneltally::fleet_wire::ColdEndpoint *> *cold() const {
+    return GetPointer<const flatbuffers::Vector<const corneltally::fleet_wire::ColdEndpoint *> *>(VT_COLD);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_DOMAIN) &&
@@ -2290,6 +2399,8 @@
            verifier.VerifyVectorOfTables(engine_states()) &&
            VerifyOffset(verifier, VT_QUARANTINE) &&
            verifier.VerifyTable(quarantine()) &&
+           VerifyOffset(verifier, VT_COLD) &&
+           verifier.VerifyVector(cold()) &&
            verifier.EndTable();
   }
   DomainSummaryT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2349,6 +2460,9 @@
   void add_quarantine(flatbuffers::Offset<corneltally::fleet_wire::QuarantineState> quarantine) {
     fbb_.AddOffset(DomainSummary::VT_QUARANTINE, quarantine);
   }
+  void add_cold(flatbuffers::Offset<flatbuffers::Vector<const corneltally::fleet_wire::ColdEndpoint *>> cold) {
+    fbb_.AddOffset(DomainSummary::VT_COLD, cold);
+  }
   explicit DomainSummaryBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2379,11 +2493,13 @@
     flatbuffers::Offset<flatbuffers::Vector<uint64_t>> adapters_running = 0,
     flatbuffers::Offset<flatbuffers::Vector<const corneltally::fleet_wire::AnswerPause *>> pauses = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<corneltally::fleet_wire::EngineState>>> engine_states = 0,
-    flatbuffers::Offset<corneltally::fleet_wire::QuarantineState> quarantine = 0) {
+    flatbuffers::Offset<corneltally::fleet_wire::QuarantineState> quarantine = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const corneltally::fleet_wire::ColdEndpoint *>> cold = 0) {
   DomainSummaryBuilder builder_(_fbb);
   builder_.add_operator_end(operator_end);
   builder_.add_sequence(sequence);
   builder_.add_incarnation(incarnation);
+  builder_.add_cold(cold);
   builder_.add_quarantine(quarantine);
   builder_.add_engine_states(engine_states);
   builder_.add_pauses(pauses);
@@ -2422,7 +2538,8 @@
     const std::vector<uint64_t> *adapters_running = nullptr,
     const std::vector<corneltally::fleet_wire::AnswerPause> *pauses = nullptr,
     const std::vector<flatbuffers::Offset<corneltally::fleet_wire::EngineState>> *engine_states = nullptr,
-    flatbuffers::Offset<corneltally::fleet_wire::QuarantineState> quarantine = 0) {
+    flatbuffers::Offset<corneltally::fleet_wire::QuarantineState> quarantine = 0,
+    const std::vector<corneltally::fleet_wire::ColdEndpoint> *cold = nullptr) {
   auto domain__ = domain ? _fbb.CreateString(domain) : 0;
   auto sender__ = sender ? _fbb.CreateString(sender) : 0;
   auto heard_domains__ = heard_domains ? _fbb.CreateVector<flatbuffers::Offset<corneltally::fleet_wire::HeardDomain>>(*heard_domains) : 0;
@@ -2434,6 +2551,7 @@
   auto adapters_running__ = adapters_running ? _fbb.CreateVector<uint64_t>(*adapters_running) : 0;
   auto pauses__ = pauses ? _fbb.CreateVectorOfStructs<corneltally::fleet_wire::AnswerPause>(*pauses) : 0;
   auto engine_states__ = engine_states ? _fbb.CreateVector<flatbuffers::Offset<corneltally::fleet_wire::EngineState>>(*engine_states) : 0;
+  auto cold__ = cold ? _fbb.CreateVectorOfStructs<corneltally::fleet_wire::ColdEndpoint>(*cold) : 0;
   return corneltally::fleet_wire::CreateDomainSummary(
       _fbb,
       domain__,
@@ -2451,7 +2569,8 @@
       adapters_running__,
       pauses__,
       engine_states__,
-      quarantine);
+      quarantine,
+      cold__);
 }
 
 flatbuffers::Offset<DomainSummary> CreateDomainSummary(flatbuffers::FlatBufferBuilder &_fbb, const DomainSummaryT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -3018,6 +3137,168 @@
 
 flatbuffers::Offset<OperatorEnd> CreateOperatorEnd(flatbuffers::FlatBufferBuilder &_fbb, const OperatorEndT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct PermitWantedT : public flatbuffers::NativeTable {
+  typedef PermitWanted TableType;
+  std::string endpoint{};
+  uint64_t number = 0;
+};
+
+struct PermitWanted FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef PermitWantedT NativeTableType;
+  typedef PermitWantedBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ENDPOINT = 4,
+    VT_NUMBER = 6
+  };
+  const flatbuffers::String *endpoint() const {
+    return GetPointer<const flatbuffers::String *>(VT_ENDPOINT);
+  }
+  uint64_t number() const {
+    return GetField<uint64_t>(VT_NUMBER, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffsetRequired(verifier, VT_ENDPOINT) &&
+           verifier.VerifyString(endpoint()) &&
+           VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
+           verifier.EndTable();
+  }
+  PermitWantedT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(PermitWantedT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<PermitWanted> Pack(flatbuffers::FlatBufferBuilder &_fbb, const PermitWantedT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct PermitWantedBuilder {
+  typedef PermitWanted Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_endpoint(flatbuffers::Offset<flatbuffers::String> endpoint) {
+    fbb_.AddOffset(PermitWanted::VT_ENDPOINT, endpoint);
+  }
+  void add_number(uint64_t number) {
+    fbb_.AddElement<uint64_t>(PermitWanted::VT_NUMBER, number, 0);
+  }
+  explicit PermitWantedBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<PermitWanted> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<PermitWanted>(end);
+    fbb_.Required(o, PermitWanted::VT_ENDPOINT);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<PermitWanted> CreatePermitWanted(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> endpoint = 0,
+    uint64_t number = 0) {
+  PermitWantedBuilder builder_(_fbb);
+  builder_.add_number(number);
+  builder_.add_endpoint(endpoint);
+  return builder_.Finish();
+}
+
+struct PermitWanted::Traits {
+  using type = PermitWanted;
+  static auto constexpr Create = CreatePermitWanted;
+};
+
+inline flatbuffers::Offset<PermitWanted> CreatePermitWantedDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *endpoint = nullptr,
+    uint64_t number = 0) {
+  auto endpoint__ = endpoint ? _fbb.CreateString(endpoint) : 0;
+  return corneltally::fleet_wire::CreatePermitWanted(
+      _fbb,
+      endpoint__,
+      number);
+}
+
+flatbuffers::Offset<PermitWanted> CreatePermitWanted(flatbuffers::FlatBufferBuilder &_fbb, const PermitWantedT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct PermitReplyT : public flatbuffers::NativeTable {
+  typedef PermitReply TableType;
+  uint64_t number = 0;
+  bool granted = false;
+  int64_t retry_in_us = 0;
+};
+
+struct PermitReply FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef PermitReplyT NativeTableType;
+  typedef PermitReplyBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_NUMBER = 4,
+    VT_GRANTED = 6,
+    VT_RETRY_IN_US = 8
+  };
+  uint64_t number() const {
+    return GetField<uint64_t>(VT_NUMBER, 0);
+  }
+  bool granted() const {
+    return GetField<uint8_t>(VT_GRANTED, 0) != 0;
+  }
+  int64_t retry_in_us() const {
+    return GetField<int64_t>(VT_RETRY_IN_US, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
+           VerifyField<uint8_t>(verifier, VT_GRANTED, 1) &&
+           VerifyField<int64_t>(verifier, VT_RETRY_IN_US, 8) &&
+           verifier.EndTable();
+  }
+  PermitReplyT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(PermitReplyT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<PermitReply> Pack(flatbuffers::FlatBufferBuilder &_fbb, const PermitReplyT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct PermitReplyBuilder {
+  typedef PermitReply Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_number(uint64_t number) {
+    fbb_.AddElement<uint64_t>(PermitReply::VT_NUMBER, number, 0);
+  }
+  void add_granted(bool granted) {
+    fbb_.AddElement<uint8_t>(PermitReply::VT_GRANTED, static_cast<uint8_t>(granted), 0);
+  }
+  void add_retry_in_us(int64_t retry_in_us) {
+    fbb_.AddElement<int64_t>(PermitReply::VT_RETRY_IN_US, retry_in_us, 0);
+  }
+  explicit PermitReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<PermitReply> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<PermitReply>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<PermitReply> CreatePermitReply(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t number = 0,
+    bool granted = false,
+    int64_t retry_in_us = 0) {
+  PermitReplyBuilder builder_(_fbb);
+  builder_.add_retry_in_us(retry_in_us);
+  builder_.add_number(number);
+  builder_.add_granted(granted);
+  return builder_.Finish();
+}
+
+struct PermitReply::Traits {
+  using type = PermitReply;
+  static auto constexpr Create = CreatePermitReply;
+};
+
+flatbuffers::Offset<PermitReply> CreatePermitReply(flatbuffers::FlatBufferBuilder &_fbb, const PermitReplyT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct EnvelopeT : public flatbuffers::NativeTable {
   typedef Envelope TableType;
   corneltally::fleet_wire::BodyUnion body{};
@@ -3077,6 +3358,12 @@
   const corneltally::fleet_wire::OperatorEnd *body_as_OperatorEnd() const {
     return body_type() == corneltally::fleet_wire::Body::OperatorEnd ? static_cast<const corneltally::fleet_wire::OperatorEnd *>(body()) : nullptr;
   }
+  const corneltally::fleet_wire::PermitWanted *body_as_PermitWanted() const {
+    return body_type() == corneltally::fleet_wire::Body::PermitWanted ? static_cast<const corneltally::fleet_wire::PermitWanted *>(body()) : nullptr;
+  }
+  const corneltally::fleet_wire::PermitReply *body_as_PermitReply() const {
+    return body_type() == corneltally::fleet_wire::Body::PermitReply ? static_cast<const corneltally::fleet_wire::PermitReply *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_BODY_TYPE, 1) &&
@@ -3141,6 +3428,14 @@
   return body_as_OperatorEnd();
 }
 
+template<> inline const corneltally::fleet_wire::PermitWanted *Envelope::body_as<corneltally::fleet_wire::PermitWanted>() const {
+  return body_as_PermitWanted();
+}
+
+template<> inline const corneltally::fleet_wire::PermitReply *Envelope::body_as<corneltally::fleet_wire::PermitReply>() const {
+  return body_as_PermitReply();
+}
+
 struct EnvelopeBuilder {
   typedef Envelope Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -3342,7 +3637,8 @@
         sent_at_us(o.sent_at_us),
         store_failing(o.store_failing),
         quarantine((o.quarantine) ? new corneltally::fleet_wire::QuarantineStateT(*o.quarantine) : nullptr),
-        leaving(o.leaving) {
+        leaving(o.leaving),
+        cold(o.cold) {
   account_uses.reserve(o.account_uses.size());
   for (const auto &account_uses_ : o.account_uses) { account_uses.emplace_back((account_uses_) ? new corneltally::fleet_wire::AccountUseT(*account_uses_) : nullptr); }
 }
@@ -3360,6 +3656,7 @@
   std::swap(store_failing, o.store_failing);
   std::swap(quarantine, o.quarantine);
   std::swap(leaving, o.leaving);
+  std::swap(cold, o.cold);
   return *this;
 }
 
@@ -3384,6 +3681,7 @@
   { auto _e = store_failing(); _o->store_failing = _e; }
   { auto _e = quarantine(); if (_e) _o->quarantine = std::unique_ptr<corneltally::fleet_wire::QuarantineStateT>(_e->UnPack(_resolver)); }
   { auto _e = leaving(); if (_e) { _o->leaving.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->leaving[_i] = _e->Get(_i); } } }
+  { auto _e = cold(); if (_e) { _o->cold.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->cold[_i] = *_e->Get(_i); } } }
 }
 
 inline flatbuffers::Offset<Heartbeat> Heartbeat::Pack(flatbuffers::FlatBufferBuilder &_fbb, const HeartbeatT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -3406,6 +3704,7 @@
   auto _store_failing = _o->store_failing;
   auto _quarantine = _o->quarantine ? CreateQuarantineState(_fbb, _o->quarantine.get(), _rehasher) : 0;
   auto _leaving = _o->leaving.size() ? _fbb.CreateVector(_o->leaving) : 0;
+  auto _cold = _o->cold.size() ? _fbb.CreateVectorOfStructs(_o->cold) : 0;
   return corneltally::fleet_wire::CreateHeartbeat(
       _fbb,
       _operator_end,
@@ -3419,7 +3718,8 @@
       _sent_at_us,
       _store_failing,
       _quarantine,
-      _leaving);
+      _leaving,
+      _cold);
 }
 
 inline LoadWantedT *LoadWanted::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -3648,6 +3948,7 @@
   { auto _e = address(); if (_e) _o->address = _e->str(); }
   { auto _e = incarnation(); _o->incarnation = _e; }
   { auto _e = draining(); _o->draining = _e; }
+  { auto _e = protocol(); _o->protocol = _e; }
 }
 
 inline flatbuffers::Offset<SummarizedInstance> SummarizedInstance::Pack(flatbuffers::FlatBufferBuilder &_fbb, const SummarizedInstanceT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -3663,13 +3964,15 @@
   auto _address = _fbb.CreateString(_o->address);
   auto _incarnation = _o->incarnation;
   auto _draining = _o->draining;
+  auto _protocol = _o->protocol;
   return corneltally::fleet_wire::CreateSummarizedInstance(
       _fbb,
       _instance,
       _machine,
       _address,
       _incarnation,
-      _draining);
+      _draining,
+      _protocol);
 }
 
 inline HeardDomainT *HeardDomain::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -3717,7 +4020,8 @@
         adapter_uses(o.adapter_uses),
         adapters_running(o.adapters_running),
         pauses(o.pauses),
-        quarantine((o.quarantine) ? new corneltally::fleet_wire::QuarantineStateT(*o.quarantine) : nullptr) {
+        quarantine((o.quarantine) ? new corneltally::fleet_wire::QuarantineStateT(*o.quarantine) : nullptr),
+        cold(o.cold) {
   heard_domains.reserve(o.heard_domains.size());
   for (const auto &heard_domains_ : o.heard_domains) { heard_domains.emplace_back((heard_domains_) ? new corneltally::fleet_wire::HeardDomainT(*heard_domains_) : nullptr); }
   instances.reserve(o.instances.size());
@@ -3743,6 +4047,7 @@
   std::swap(pauses, o.pauses);
   std::swap(engine_states, o.engine_states);
   std::swap(quarantine, o.quarantine);
+  std::swap(cold, o.cold);
   return *this;
 }
 
@@ -3771,6 +4076,7 @@
   { auto _e = pauses(); if (_e) { _o->pauses.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->pauses[_i] = *_e->Get(_i); } } }
   { auto _e = engine_states(); if (_e) { _o->engine_states.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->engine_states[_i] = std::unique_ptr<corneltally::fleet_wire::EngineStateT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = quarantine(); if (_e) _o->quarantine = std::unique_ptr<corneltally::fleet_wire::QuarantineStateT>(_e->UnPack(_resolver)); }
+  { auto _e = cold(); if (_e) { _o->cold.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->cold[_i] = *_e->Get(_i); } } }
 }
 
 inline flatbuffers::Offset<DomainSummary> DomainSummary::Pack(flatbuffers::FlatBufferBuilder &_fbb, const DomainSummaryT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -3797,6 +4103,7 @@
   auto _pauses = _o->pauses.size() ? _fbb.CreateVectorOfStructs(_o->pauses) : 0;
   auto _engine_states = _o->engine_states.size() ? _fbb.CreateVector<flatbuffers::Offset<corneltally::fleet_wire::EngineState>> (_o->engine_states.size(), [](size_t i, _VectorArgs *__va) { return CreateEngineState(*__va->__fbb, __va->__o->engine_states[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _quarantine = _o->quarantine ? CreateQuarantineState(_fbb, _o->quarantine.get(), _rehasher) : 0;
+  auto _cold = _o->cold.size() ? _fbb.CreateVectorOfStructs(_o->cold) : 0;
   return corneltally::fleet_wire::CreateDomainSummary(
       _fbb,
       _domain,
@@ -3814,7 +4121,8 @@
       _adapters_running,
       _pauses,
       _engine_states,
-      _quarantine);
+      _quarantine,
+      _cold);
 }
 
 inline OperatorRecordT *OperatorRecord::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -4057,6 +4365,67 @@
       _end);
 }
 
+inline PermitWantedT *PermitWanted::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<PermitWantedT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void PermitWanted::UnPackTo(PermitWantedT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = endpoint(); if (_e) _o->endpoint = _e->str(); }
+  { auto _e = number(); _o->number = _e; }
+}
+
+inline flatbuffers::Offset<PermitWanted> PermitWanted::Pack(flatbuffers::FlatBufferBuilder &_fbb, const PermitWantedT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreatePermitWanted(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<PermitWanted> CreatePermitWanted(flatbuffers::FlatBufferBuilder &_fbb, const PermitWantedT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const PermitWantedT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _endpoint = _fbb.CreateString(_o->endpoint);
+  auto _number = _o->number;
+  return corneltally::fleet_wire::CreatePermitWanted(
+      _fbb,
+      _endpoint,
+      _number);
+}
+
+inline PermitReplyT *PermitReply::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<PermitReplyT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void PermitReply::UnPackTo(PermitReplyT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = number(); _o->number = _e; }
+  { auto _e = granted(); _o->granted = _e; }
+  { auto _e = retry_in_us(); _o->retry_in_us = _e; }
+}
+
+inline flatbuffers::Offset<PermitReply> PermitReply::Pack(flatbuffers::FlatBufferBuilder &_fbb, const PermitReplyT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreatePermitReply(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<PermitReply> CreatePermitReply(flatbuffers::FlatBufferBuilder &_fbb, const PermitReplyT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const PermitReplyT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _number = _o->number;
+  auto _granted = _o->granted;
+  auto _retry_in_us = _o->retry_in_us;
+  return corneltally::fleet_wire::CreatePermitReply(
+      _fbb,
+      _number,
+      _granted,
+      _retry_in_us);
+}
+
 inline EnvelopeT *Envelope::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<EnvelopeT>();
   UnPackTo(_o.get(), _resolver);
@@ -4143,6 +4512,14 @@
       auto ptr = reinterpret_cast<const corneltally::fleet_wire::OperatorEnd *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Body::PermitWanted: {
+      auto ptr = reinterpret_cast<const corneltally::fleet_wire::PermitWanted *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::PermitReply: {
+      auto ptr = reinterpret_cast<const corneltally::fleet_wire::PermitReply *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -4214,6 +4591,14 @@
       auto ptr = reinterpret_cast<const corneltally::fleet_wire::OperatorEnd *>(obj);
       return ptr->UnPack(resolver);
     }
+    case Body::PermitWanted: {
+      auto ptr = reinterpret_cast<const corneltally::fleet_wire::PermitWanted *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case Body::PermitReply: {
+      auto ptr = reinterpret_cast<const corneltally::fleet_wire::PermitReply *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -4273,6 +4658,14 @@
       auto ptr = reinterpret_cast<const corneltally::fleet_wire::OperatorEndT *>(value);
       return CreateOperatorEnd(_fbb, ptr, _rehasher).Union();
     }
+    case Body::PermitWanted: {
+      auto ptr = reinterpret_cast<const corneltally::fleet_wire::PermitWantedT *>(value);
+      return CreatePermitWanted(_fbb, ptr, _rehasher).Union();
+    }
+    case Body::PermitReply: {
+      auto ptr = reinterpret_cast<const corneltally::fleet_wire::PermitReplyT *>(value);
+      return CreatePermitReply(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -4331,6 +4724,14 @@
       value = new corneltally::fleet_wire::OperatorEndT(*reinterpret_cast<corneltally::fleet_wire::OperatorEndT *>(u.value));
       break;
     }
+    case Body::PermitWanted: {
+      value = new corneltally::fleet_wire::PermitWantedT(*reinterpret_cast<corneltally::fleet_wire::PermitWantedT *>(u.value));
+      break;
+    }
+    case Body::PermitReply: {
+      value = new corneltally::fleet_wire::PermitReplyT(*reinterpret_cast<corneltally::fleet_wire::PermitReplyT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -4403,6 +4804,16 @@
       delete ptr;
       break;
     }
+    case Body::PermitWanted: {
+      auto ptr = reinterpret_cast<corneltally::fleet_wire::PermitWantedT *>(value);
+      delete ptr;
+      break;
+    }
+    case Body::PermitReply: {
+      auto ptr = reinterpret_cast<corneltally::fleet_wire::PermitReplyT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
--- a/tests/unit/fleet_codec_test.cpp
+++ b/tests/unit/fleet_codec_test.cpp
@@ -40,7 +40,8 @@
                                     .sentAt = cNow - 3s,
                                     .storeFailing = true,
                                     .quarantine = cQuarantine,
-                                    .leaving = {engines::startDigest("e1", 5)}});
+                                    .leaving = {engines::startDigest("e1", 5)},
+                                    .cold = {{engines::startDigest("e1", 5), 1500ms}}});
     checkRoundTrip(fleet::operator_end{12});
     checkRoundTrip(fleet::fleet_records{
         {{"engine/e1", "{}", 4}, {"instance/a", std::nullopt, 6}}, 3, 7, true, cNow - 1s, 8});
@@ -51,15 +52,19 @@
         .sequence = 12,
         .operatorEnd = 4,
         .heardDomains = {{"south", "s", "b"}},
-        .instances = {{"a", "10.0.0.1", "10.0.0.1:80", 7, false, {{"north", 12.5}, {"east", 3}}},
-                      {"b", "10.0.0.2", "10.0.0.2:80", 9, true, {{"east", 4}}}},
+        .instances = {{"a", "10.0.0.1", "10.0.0.1:80", 7, false, 2, {{"north", 12.5}, {"east", 3}}},
+                      {"b", "10.0.0.2", "10.0.0.2:80", 9, true, 0, {{"east", 4}}}},
         .hasAllTotals = true,
         .loads = {{engines::digestOf("e1"), {3, 100, 200}}},
         .adapterUses = {engines::digestOf("e1", "base/a1")},
         .adaptersRunning = {engines::digestOf("e1", "base/a2")},
         .pauses = {{engines::digestOf("e1"), 420ms}},
         .engines = {{"b", {"e1", 5, true, {{{"base/a1", 1}}, {{"base/a2", {3, cNow + 250ms}}}}}}},
-        .quarantine = cQuarantine});
+        .quarantine = cQuarantine,
+        .cold = {{engines::startDigest("e1", 5), 1500ms}}});
+    checkRoundTrip(fleet::permit_wanted{"e1", 7});
+    checkRoundTrip(fleet::permit_reply{7, true});
+    checkRoundTrip(fleet::permit_reply{7, false, 250ms});
     checkRoundTrip(fleet::load_wanted{"e1", 5, "base", "a1", 2, 900});
     checkRoundTrip(fleet::adapter_missing{"e1", 5, "base/a1"});
     checkRoundTrip(fleet::adapter_running{"e1", 5, "base/a1", true});
--- a/tests/unit/fleet_mesh_release_test.cpp
+++ b/tests/unit/fleet_mesh_release_test.cpp
@@ -85,6 +85,8 @@
     std::map<std::string, int> heartbeats;
     std::map<std::string, int> reports;
     bool receivedSummary = false;
+    bool receivedPermit = false;
+    std::uint16_t protocol = 0;
 
     explicit former_instance(kernel::event_loop &inLoop)
         : loop(inLoop)
@@ -120,6 +122,9 @@
                      }
                      receivedSummary = receivedSummary
                          || std::holds_alternative<fleet::domain_summary>(*decoded);
+                     receivedPermit = receivedPermit
+                         || std::holds_alternative<fleet::permit_wanted>(*decoded)
+                         || std::holds_alternative<fleet::permit_reply>(*decoded);
                  },
              .onClosed = {}});
         incoming.push_back(std::move(inConnection));
@@ -130,7 +135,7 @@
         auto connection
             = std::make_unique<peer::connection>(loop, "127.0.0.1", inTarget.mesh->port());
         connection->send(
-            fleet::encode(fleet::hello{"former", "former", address(), inDomain, 1, 0, 0},
+            fleet::encode(fleet::hello{"former", "former", address(), inDomain, 1, 0, protocol},
                           core::boot_clock::now()));
         outgoing.push_back(std::move(connection));
     }
@@ -177,3 +182,33 @@
     CHECK(std::ranges::find(south.claimants, "former") != south.claimants.end());
     CHECK(std::ranges::find(south.claimants, "north-1") == south.claimants.end());
 }
+
+// Failure: an instance asks a holder of the former release for a permit, and that one closes the
+// connection on which it receives the unknown message.
+TEST_CASE("permits are asked only of instances whose release knows them")
+{
+    const std::uint16_t protocol = GENERATE(0, 1, 2);
+    CAPTURE(protocol);
+    kernel::event_loop loop;
+    current_instance north(loop, "north-1", "north", {});
+    former_instance former(loop);
+    former.protocol = protocol;
+    north.registry.startAll();
+    former.connectTo(north, "north");
+    const auto run = [&](core::duration inTime) {
+        kernel::timer end(loop, [&] { loop.stop(); });
+        end.startOnce(inTime);
+        loop.run();
+    };
+    const core::time_point limit = core::boot_clock::now() + 20s;
+    while (!north.sees("former") && core::boot_clock::now() < limit)
+        run(50ms);
+    REQUIRE(north.sees("former"));
+    north.registry.post("mesh", fleet::mesh_send{"former", fleet::permit_wanted{"e1", 1}});
+    north.registry.post("mesh", fleet::mesh_send{"former", fleet::permit_reply{1, true}});
+    const int before = former.heartbeats["north-1"];
+    while (former.heartbeats["north-1"] < before + 3 && core::boot_clock::now() < limit)
+        run(50ms);
+    CHECK(former.heartbeats["north-1"] >= before + 3);
+    CHECK(former.receivedPermit == (protocol >= fleet::cPermitProtocol));
+}
