Test and describe the limit for cold endpoints

The term of a permit is a type of its own. Only connections count as losses, not slow answers. Reports and orders of the holder tell of cold endpoints, too. Retry-After considers only endpoints that the request may use.

--- a/corneltally/engines/endpoint_cold.cpp
+++ b/corneltally/engines/endpoint_cold.cpp
@@ -30,7 +30,7 @@
 
 bool endpoint_table::mayAskPermit(const endpoint &inEndpoint, core::time_point inNow)
 {
-    return inEndpoint.holderReady && inNow >= inEndpoint.permitNotBefore;
+    return inEndpoint.holderGrants && inNow >= inEndpoint.permitNotBefore;
 }
 
 /// Applies the cold time of the endpoint's entry. inMayHaveStarted: the endpoint is new, has
@@ -109,15 +109,17 @@
 }
 
 std::optional<std::pair<core::time_point, core::time_point>>
-endpoint_table::permitTimes(std::string_view inService, core::time_point inNow) const
+endpoint_table::permitTimes(std::string_view inService, const std::set<std::string> &inExcluded,
+                            core::time_point inNow) const
 {
     std::optional<std::pair<core::time_point, core::time_point>> times;
     for (const auto &[id, target] : mEndpoints) {
-        if (target.entry.service != inService || !usable(target, inNow) || !isCold(target, inNow))
+        if (target.entry.service != inService || inExcluded.contains(id) || !usable(target, inNow)
+            || !isCold(target, inNow) || mayAskPermit(target, inNow))
             continue;
         // Without a holder that may give orders, no permit comes before the cold time ends.
-        const core::time_point at = target.holderReady
-            ? std::clamp(target.permitNotBefore, inNow, std::max(inNow, target.cold.until()))
+        const core::time_point at = target.holderGrants
+            ? std::min(target.permitNotBefore, target.cold.until())
             : target.cold.until();
         times = times ? std::pair(std::min(times->first, at), std::max(times->second, at))
                       : std::pair(at, at);
--- a/corneltally/engines/endpoint_table.cpp
+++ b/corneltally/engines/endpoint_table.cpp
@@ -85,8 +85,13 @@
     const bool restarted = isNew || target.entry.startedMs != inEntry.startedMs
         || target.entry.address != inEntry.address;
     const bool returned = target.removed;
-    if (restarted)
-        target = endpoint{};
+    if (restarted) {
+        endpoint next;
+        next.holder = target.holder;
+        next.holderGrants = target.holderGrants;
+        next.permitNotBefore = target.permitNotBefore;
+        target = std::move(next);
+    }
     if (restarted || returned)
         target.appearedAt = inNow;
     target.entry = inEntry;
@@ -182,6 +187,7 @@
         return;
     target->holder = inHolder;
     target->holderReady = inReady;
+    target->holderGrants = inReady;
     target->holderReportAt = inNow;
     recordUnloaded(*target, inAdapters);
     target->setAdapters(std::move(inAdapters));
@@ -261,8 +267,11 @@
 
 void endpoint_table::setLiveHolders(const std::set<std::string> &inLive)
 {
-    for (auto &[id, target] : mEndpoints)
-        target.holderReady = target.holderReady && inLive.contains(target.holder);
+    for (auto &[id, target] : mEndpoints) {
+        const bool isLive = inLive.contains(target.holder);
+        target.holderReady = target.holderReady && isLive;
+        target.holderGrants = target.holderGrants && isLive;
+    }
 }
 
 void endpoint_table::forgetReports()
@@ -272,6 +281,7 @@
     mPeerRunning.clear();
     for (auto &[id, target] : mEndpoints) {
         target.holderReady = false;
+        target.holderGrants = false;
         target.holderReportAt = {};
     }
 }
--- a/corneltally/engines/endpoint_table.h
+++ b/corneltally/engines/endpoint_table.h
@@ -92,6 +92,8 @@
     std::string holder;
     /// Whether the holder last reported that it may give orders.
     bool holderReady = false;
+    /// Whether the holder may grant permits. Its authority outlasts a new start of the endpoint.
+    bool holderGrants = false;
     core::time_point holderReportAt;
     /// Adapters that wait for a slot, as the holder reported.
     int queued = 0;
@@ -246,10 +248,11 @@
     /// Asks no permits of a holder before inUntil.
     void deferPermits(std::string_view inHolder, core::time_point inUntil);
 
-    /// First and last time at which permits for the cold endpoints of a service may be asked for,
-    /// if it has usable cold endpoints.
+    /// First and last time at which permits may be asked for again that are denied now, for the
+    /// usable cold endpoints of a service; nothing if there are none.
     std::optional<std::pair<core::time_point, core::time_point>>
-    permitTimes(std::string_view inService, core::time_point inNow) const;
+    permitTimes(std::string_view inService, const std::set<std::string> &inExcluded,
+                core::time_point inNow) const;
 
     /// Endpoints that became cold or warm since the last call.
     std::vector<cold_change> takeColdChanges(core::time_point inNow);
--- a/corneltally/forwarding/forwarded_request.cpp
+++ b/corneltally/forwarding/forwarded_request.cpp
@@ -566,7 +566,8 @@
     if (mState == state::sent) {
         if (engines::endpoint *target = currentTarget())
             target->health.failed(core::boot_clock::now());
-        if (!mHeadReceived)
+        // A slow answer is no sign of a new start, unlike a connection that was not established.
+        if (mUpstream && !mUpstream->sent())
             mContext.endpoints.expectColdAfterLoss(mChoice.endpoint, mEndpointStart,
                                                    core::boot_clock::now());
     }
--- a/corneltally/forwarding/forwarded_request.h
+++ b/corneltally/forwarding/forwarded_request.h
@@ -8,6 +8,7 @@
 #include "corneltally/http1/client_connection.h"
 #include "corneltally/http1/server_connection.h"
 #include "corneltally/kernel/timer.h"
+#include "corneltally/limits/permit_term.h"
 #include "corneltally/quarantine/shared_part.h"
 #include "corneltally/routing/request_terms.h"
 #include "corneltally/routing/routing_table.h"
@@ -143,7 +144,7 @@
     core::time_point mWaitingSince;
     core::time_point mSentAt;
     std::uint64_t mPermitNumber = 0;
-    core::time_point mPermitAskedAt;
+    limits::permit_term mPermitTerm{core::time_point()};
     /// Until when the permit of the current attempt may be used; empty if it needs none.
     std::optional<core::time_point> mPermitEnd;
     std::optional<core::time_point> mFirstByteAt;
--- a/corneltally/forwarding/forwarded_request_answer.cpp
+++ b/corneltally/forwarding/forwarded_request_answer.cpp
@@ -69,7 +69,7 @@
     const engines::endpoint_noticed noticed{mChoice.endpoint, mEndpointStart,
                                             platform::decodeNotice(inHead.status, inHead.fields)};
     mAnswerAsksPause = noticed.notice.pause.has_value();
-    if (mAnswer.coldLeft && !mAnswer.misdirected)
+    if (mAnswer.coldLeft)
         mContext.endpoints.applyColdAnswer(mChoice.endpoint, mEndpointStart, *mAnswer.coldLeft,
                                            mSentAt, core::boot_clock::now());
     if (mContext.endpoints.applyNotice(noticed.endpoint, noticed.startedMs, noticed.notice,
@@ -234,7 +234,7 @@
 void forwarded_request::refuseUnserved(std::string_view inReason)
 {
     const core::time_point now = core::boot_clock::now();
-    const auto permits = mContext.endpoints.permitTimes(mService->name, now);
+    const auto permits = mContext.endpoints.permitTimes(mService->name, mWork.excluded, now);
     const auto ends = permits ? permits : mContext.endpoints.pauseEnds(mService->name, now);
     if (!ends) {
         refuseBusy(inReason);
--- a/corneltally/forwarding/forwarded_request_permit.cpp
+++ b/corneltally/forwarding/forwarded_request_permit.cpp
@@ -6,7 +6,7 @@
 #include "corneltally/forwarding/forward_context.h"
 #include "corneltally/forwarding/forwarded_request.h"
 #include "corneltally/kernel/service_registry.h"
-#include "corneltally/limits/permit_window.h"
+#include "corneltally/limits/permit_term.h"
 #include "corneltally/orders/order_messages.h"
 
 #include <algorithm>
@@ -15,9 +15,6 @@
 
 namespace {
 
-constexpr core::duration cValidity = limits::permit_window::sValidity;
-/// Time that the event loop may take to write a request after the permit was checked.
-constexpr core::duration cWriteMargin = std::chrono::milliseconds(10);
 /// No permits are asked of a holder for this long after it did not reply.
 constexpr core::duration cSilentHolderPause = std::chrono::milliseconds(500);
 constexpr core::duration cMinPermitPause = std::chrono::milliseconds(5);
@@ -41,10 +38,10 @@
         return;
     }
     mState = state::awaiting_permit;
-    mPermitAskedAt = now;
+    mPermitTerm = limits::permit_term(now);
     mPermitNumber = mContext.permits.add(
         [this](const fleet::permit_reply &inReply) { permitReplied(inReply); });
-    mPermitTimer.startOnce(cValidity);
+    mPermitTimer.startOnce(limits::permit_term::sValidity);
     fleet::permit_wanted wanted{mChoice.endpoint, mPermitNumber};
     if (target.holder == mContext.instance)
         mContext.registry.post("orders", orders::local_permit_wanted{std::move(wanted)});
@@ -63,7 +60,7 @@
     const core::time_point now = core::boot_clock::now();
     mPermitTimer.cancel();
     // The process may have been suspended since it asked.
-    if (now >= mPermitAskedAt + cValidity - cWriteMargin) {
+    if (!mPermitTerm.mayUse(now)) {
         permitExpired("late");
         return;
     }
@@ -80,7 +77,7 @@
         chooseAndSend();
         return;
     }
-    mPermitEnd = mPermitAskedAt + cValidity - cWriteMargin;
+    mPermitEnd = mPermitTerm.end();
     sendNow();
 }
 
@@ -97,14 +94,15 @@
     forgetPermit();
     mContext.metrics.count("permits_asked_total{outcome=\"" + std::string(inOutcome) + "\"}");
     if (const engines::endpoint *target = currentTarget()) {
-        core::logEvent(core::log_level::warning, "permit_not_received",
-                       {{"request", mTerms.requestId},
-                        {"endpoint", mChoice.endpoint},
-                        {"holder", target->holder},
-                        {"outcome", inOutcome},
-                        {"waited_ms",
-                         std::chrono::duration_cast<std::chrono::milliseconds>(now - mPermitAskedAt)
-                             .count()}});
+        core::logEvent(
+            core::log_level::warning, "permit_not_received",
+            {{"request", mTerms.requestId},
+             {"endpoint", mChoice.endpoint},
+             {"holder", target->holder},
+             {"outcome", inOutcome},
+             {"waited_ms",
+              std::chrono::duration_cast<std::chrono::milliseconds>(now - mPermitTerm.askedAt())
+                  .count()}});
         const std::string holder = target->holder;
         mContext.endpoints.deferPermits(holder, now + cSilentHolderPause);
     }
--- a/corneltally/forwarding/front_service.cpp
+++ b/corneltally/forwarding/front_service.cpp
@@ -2,6 +2,7 @@
 
 #include "corneltally/core/json_log.h"
 #include "corneltally/core/metrics.h"
+#include "corneltally/engines/endpoint_exchange.h"
 #include "corneltally/forwarding/forwarded_request.h"
 #include "corneltally/http1/client_connection.h"
 #include "corneltally/kernel/event_loop.h"
@@ -87,6 +88,16 @@
         cName, [this](const orders::held_engine_changed &inChanged) {
             engineStateReceived(mOptions.instance, inChanged.state);
         });
+    ioRegistry.handle<engines::endpoint_exchange>(
+        cName, [this](const engines::endpoint_exchange &inExchange) {
+            const core::time_point now = core::boot_clock::now();
+            if (inExchange.coldLeft)
+                mContext.endpoints.applyColdAnswer(inExchange.endpoint, inExchange.startedMs,
+                                                   *inExchange.coldLeft, inExchange.sentAt, now);
+            else
+                mContext.endpoints.expectColdAfterLoss(inExchange.endpoint, inExchange.startedMs,
+                                                       now);
+        });
     ioRegistry.handle<orders::local_permit_reply>(
         cName, [this](const orders::local_permit_reply &inLocal) {
             mContext.permits.replied(inLocal.reply);
--- a/corneltally/limits/permit_window.h
+++ b/corneltally/limits/permit_window.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "corneltally/core/boot_clock.h"
+#include "corneltally/limits/permit_term.h"
 
 #include <compare>
 #include <cstddef>
@@ -20,14 +21,13 @@
     friend auto operator<=>(const permit_decision &, const permit_decision &) = default;
 };
 
-/// Grants permits to send one request each to one endpoint. A permit is used within sValidity after
-/// it was asked for, so a grant precedes its use by no more than that. At most inLimit grants in
-/// any span of one second plus sValidity therefore keep each second within inLimit uses.
+/// Grants permits to send one request each to one endpoint. A permit is used within its term, which
+/// starts before the grant. At most inLimit grants in any span of one second plus the length of the
+/// term therefore keep each second within inLimit uses.
 class permit_window
 {
 public:
-    static constexpr core::duration sValidity = std::chrono::milliseconds(150);
-    static constexpr core::duration sSpan = std::chrono::seconds(1) + sValidity;
+    static constexpr core::duration sSpan = std::chrono::seconds(1) + permit_term::sValidity;
 
     /// Nothing is granted before inNotBefore, since an earlier grantor may have granted permits.
     explicit permit_window(core::time_point inNotBefore)
--- a/corneltally/orders/order_service.cpp
+++ b/corneltally/orders/order_service.cpp
@@ -506,7 +506,7 @@
     mFetcher.fetch(platform::orderRequest(entry.address, inEngine, order),
                    [this, inEngine, inOrder, sentAt,
                     startedMs = entry.startedMs](const http1::fetch_result &inResult) {
-                       answerReceived(inEngine, startedMs, inResult);
+                       answerReceived(inEngine, startedMs, sentAt, inResult);
                        orderEnded(inEngine, inOrder, platform::decodeOrderOutcome(inResult),
                                   sentAt);
                    });
@@ -538,9 +538,9 @@
 {
     ioHeld.controller.reportStarted(inNow);
     mFetcher.fetch(platform::reportRequest(ioHeld.controller.entry().address),
-                   [this, inEngine, startedMs = ioHeld.controller.entry().startedMs](
+                   [this, inEngine, inNow, startedMs = ioHeld.controller.entry().startedMs](
                        const http1::fetch_result &inResult) {
-                       answerReceived(inEngine, startedMs, inResult);
+                       answerReceived(inEngine, startedMs, inNow, inResult);
                        const auto found = mHeld.find(inEngine);
                        if (found == mHeld.end())
                            return;
@@ -557,12 +557,14 @@
 }
 
 void order_service::answerReceived(const std::string &inEngine, std::uint64_t inStartedMs,
-                                   const http1::fetch_result &inResult)
+                                   core::time_point inSentAt, const http1::fetch_result &inResult)
 {
     const engines::endpoint_noticed noticed{
         inEngine, inStartedMs, platform::decodeNotice(inResult.status, inResult.fields)};
     // A report may come from another start of the engine, or from another engine at its address.
     const auto report = platform::decodeReport(inResult);
+    if (!report || report->startedMs == inStartedMs)
+        reportCold(inEngine, inStartedMs, inSentAt, inResult);
     if (noticed.notice == engines::endpoint_notice()
         || (report && report->startedMs != inStartedMs))
         return;
--- a/corneltally/orders/order_service.h
+++ b/corneltally/orders/order_service.h
@@ -103,7 +103,9 @@
     void requestReport(const std::string &inEngine, held_engine &ioHeld, core::time_point inNow);
     void publish(const std::string &inEngine, held_engine &ioHeld, core::time_point inNow);
     void answerReceived(const std::string &inEngine, std::uint64_t inStartedMs,
-                        const http1::fetch_result &inResult);
+                        core::time_point inSentAt, const http1::fetch_result &inResult);
+    void reportCold(const std::string &inEngine, std::uint64_t inStartedMs,
+                    core::time_point inSentAt, const http1::fetch_result &inResult);
     void endpointNoticed(const engines::endpoint_noticed &inNoticed);
     const engines::endpoint_condition *conditionOf(const std::string &inEngine,
                                                    std::uint64_t inStartedMs) const;
--- a/corneltally/orders/order_service_permits.cpp
+++ b/corneltally/orders/order_service_permits.cpp
@@ -1,9 +1,11 @@
 // Part of order_service: permits for requests to cold endpoints.
 
 #include "corneltally/core/metrics.h"
+#include "corneltally/engines/endpoint_exchange.h"
 #include "corneltally/kernel/service_registry.h"
 #include "corneltally/orders/order_service.h"
 #include "corneltally/routing/routing_table.h"
+#include "platform/request_codec.h"
 
 #include <utility>
 
@@ -80,4 +82,17 @@
     }
 }
 
+/// Tells the front service what an exchange shows about the endpoint's cold time.
+void order_service::reportCold(const std::string &inEngine, std::uint64_t inStartedMs,
+                               core::time_point inSentAt, const http1::fetch_result &inResult)
+{
+    if (coldServiceOf(inEngine) == nullptr)
+        return;
+    const auto coldLeft = platform::decodeColdLeft(inResult.status, inResult.fields);
+    const bool isLost = inResult.status == 0 && !inResult.sent;
+    if (isLost || coldLeft)
+        mRegistry.post("front",
+                       engines::endpoint_exchange{inEngine, inStartedMs, inSentAt, coldLeft});
+}
+
 } // namespace corneltally::orders
--- a/standins/site.cpp
+++ b/standins/site.cpp
@@ -131,7 +131,9 @@
                        std::chrono::milliseconds inLimit)
 {
     const auto isHeld = [&](const json &inEndpoint) {
-        return inEndpoint.value("ready", false) && inEndpoint.value("holder", "") != inNot;
+        // Plain endpoints may have a holder, too.
+        return inEndpoint.value("id", "").starts_with("engine-") && inEndpoint.value("ready", false)
+            && inEndpoint.value("holder", "") != inNot;
     };
     return waitFor(
         [&] {
@@ -230,7 +232,8 @@
                            "peers = \"127.0.0.1:0\"\n[store]\naddress = \""
                         << storeAddress << "\"\n"
                         << seeds << "[limits]\nstop_ms = " << mOptions.stopMs
-                        << "\n[retries]\nslack = 1000\n";
+                        << "\n[retries]\nslack = 1000\n"
+                        << mOptions.moreSettings;
     return startProcess(inName, "corneltally", {"forward", "--settings", file});
 }
 
--- a/standins/site.h
+++ b/standins/site.h
@@ -32,6 +32,8 @@
     bool oneMachine = false;
     /// Time between SIGTERM and the end of an instance by force.
     int stopMs = 6000;
+    /// Lines at the end of the settings files of the instances.
+    std::string moreSettings;
 };
 
 /// Starts and stops the processes of a platform with forwarding instances: the store, endpoints,
--- a/standins/site_endpoint.cpp
+++ b/standins/site_endpoint.cpp
@@ -26,6 +26,8 @@
 constexpr core::duration cLateOrder = std::chrono::milliseconds(700);
 /// Exit code of an engine that a deadly part ends.
 constexpr int cDeadlyExit = 3;
+/// Exit code of a cold endpoint that received too many requests.
+constexpr int cColdExit = 4;
 /// Value of a fault that is switched on until it is switched off.
 constexpr long long cAlways = -1;
 
@@ -79,6 +81,8 @@
     ioFlags.add("events", "events of a stream", events);
     ioFlags.add("event-ms", "time between events", eventMs);
     ioFlags.add("heartbeat-ms", "interval of heartbeats", heartbeatMs);
+    ioFlags.add("cold-ms", "time after the start in which the endpoint is cold", coldMs);
+    ioFlags.add("cold-limit", "requests within a second that end the cold endpoint", coldLimit);
 }
 
 site_endpoint::site_endpoint(host &inHost, const site_endpoint_options &inOptions)
@@ -111,6 +115,8 @@
                {"sequence", mOrders}};
     if (!mOptions.model.empty())
         entry["models"] = models();
+    if (mOptions.coldMs > 0)
+        entry["cold-remaining-ms"] = coldLeft().count();
     http::call_request call{.target = http::parseAddress(mOptions.store),
                             .method = "POST",
                             .path = "/control/heartbeat",
@@ -169,6 +175,8 @@
     http::header_list fields{{std::string(platform::cRequestIdField), inRequest}};
     if (mFaults["say_leaving"] != 0)
         fields.emplace_back(platform::cLeavingField, "1");
+    if (mOptions.coldMs > 0)
+        fields.emplace_back(platform::cColdField, std::to_string(coldLeft().count()));
     return fields;
 }
 
@@ -192,9 +200,33 @@
         mRuns, [&](const auto &inRun) { return !inRun->done && inRun->adapter == inAdapter; });
 }
 
+std::chrono::milliseconds site_endpoint::coldLeft() const
+{
+    const auto left
+        = mStarted + std::chrono::milliseconds(mOptions.coldMs) - std::chrono::steady_clock::now();
+    return std::max(std::chrono::milliseconds(0),
+                    std::chrono::duration_cast<std::chrono::milliseconds>(left));
+}
+
+void site_endpoint::countWhileCold()
+{
+    if (coldLeft().count() == 0)
+        return;
+    const auto now = std::chrono::steady_clock::now();
+    while (!mReceivedWhileCold.empty()
+           && now - mReceivedWhileCold.front() > std::chrono::seconds(1))
+        mReceivedWhileCold.pop_front();
+    mReceivedWhileCold.push_back(now);
+    mHost.facts().write("cold_request",
+                        {{"started_ms", mStartedMs}, {"in_a_second", mReceivedWhileCold.size()}});
+    if (std::ssize(mReceivedWhileCold) > mOptions.coldLimit)
+        std::_Exit(cColdExit);
+}
+
 void site_endpoint::request(const exchange_pointer &inExchange)
 {
     endRuns();
+    countWhileCold();
     if (const long long pause = mFaults["pause_ms"]; pause > 0) {
         refuse(inExchange, 503, "pause",
                {{std::string(platform::cRetryAfterField),
--- a/standins/site_endpoint.h
+++ b/standins/site_endpoint.h
@@ -5,7 +5,9 @@
 #include "corneltally/kernel/timer.h"
 #include "standins/host.h"
 
+#include <chrono>
 #include <cstdint>
+#include <deque>
 #include <list>
 #include <map>
 #include <memory>
@@ -32,6 +34,10 @@
     long long events = 6;
     long long eventMs = 15;
     long long heartbeatMs = 300;
+    /// How long the endpoint is cold after its start, and the requests within a second at which it
+    /// exits meanwhile; 0 for an endpoint that is never cold.
+    long long coldMs = 0;
+    long long coldLimit = 0;
 
     void addFlags(flag_parser &ioFlags);
 };
@@ -78,6 +84,10 @@
                 const corneltally::http::header_list &inMore = {});
     corneltally::http::header_list answerFields(const std::string &inRequest);
     bool isRunning(const std::string &inAdapter) const;
+    /// How much longer the endpoint is cold.
+    std::chrono::milliseconds coldLeft() const;
+    /// Exits if the cold endpoint received too many requests within a second.
+    void countWhileCold();
     /// Whether a fault that is set for a number of requests applies to this one.
     bool takeFault(const std::string &inName);
 
@@ -86,6 +96,8 @@
     corneltally::http::client mClient;
     corneltally::kernel::timer mHeartbeat;
     std::uint64_t mStartedMs;
+    std::chrono::steady_clock::time_point mStarted = std::chrono::steady_clock::now();
+    std::deque<std::chrono::steady_clock::time_point> mReceivedWhileCold;
     std::uint64_t mOrders = 0;
     std::string mAddress;
     std::map<std::string, std::uint64_t> mAdapters;
--- a/tests/unit/platform_codec_test.cpp
+++ b/tests/unit/platform_codec_test.cpp
@@ -30,7 +30,7 @@
   {"name":"lm","max-connections":370,"engine":{"capacity":64,"kv-capacity":277092,
    "weights-mb":66500.0,"adapter-slots":8,"models":[{"name":"m","weights-mb":65100.0,
    "adapters":3000,"adapter-mb":12.0}]}},
-  {"name":"app","max-connections":110}],
+  {"name":"app","max-connections":110,"cold-start-s":4.5,"cold-per-s":7.5}],
  "limits":{"max-header-bytes":16384,"max-body-bytes":4194304,"header-timeout-ms":3000,
   "idle-timeout-ms":15000},
  "tenants":[{"name":"north","api-keys":["k1","k2"],"priority":1,"unit":"token_stream",
@@ -72,6 +72,9 @@
     CHECK(decoded->routes[3].kind == routing::repetition::once);
     CHECK(decoded->services[0].engine->adapterSlots == 8);
     CHECK_FALSE(decoded->services[1].engine.has_value());
+    CHECK(decoded->services[0].coldPerSecond == 0);
+    CHECK(decoded->services[1].coldPerSecond == 7.5);
+    CHECK(decoded->services[1].coldTime == 4500ms);
     CHECK(decoded->limits.idleTimeout == 15s);
     CHECK(decoded->keysRequired);
     CHECK(decoded->accounts[0].keyDigests[1] == core::sha256Hex("k2"));
@@ -102,6 +105,9 @@
         text.replace(text.find(inFrom), inFrom.size(), inTo);
         return platform::decodeEndpoint("i-1", text);
     };
+    CHECK_FALSE(entry->coldLeft);
+    CHECK(with("\"sequence\":4", "\"sequence\":4,\"cold-remaining-ms\":0")->coldLeft == 0ms);
+    CHECK(with("\"sequence\":4", "\"sequence\":4,\"cold-remaining-ms\":1200")->coldLeft == 1200ms);
     CHECK(with("ready", "draining")->leaving);
     CHECK_FALSE(with("ready", "resting"));
     CHECK_FALSE(with("\"10.0.0.9:8080\"", "17"));
@@ -297,6 +303,22 @@
     CHECK_FALSE(platform::decodeNotice(200, {}).leaving);
 }
 
+TEST_CASE("the remaining cold time in an answer is decoded unless another endpoint answered")
+{
+    const auto coldLeft = [](int inStatus, const std::string &inValue) {
+        return platform::decodeAnswer(
+                   {.status = inStatus, .fields = {{"x-corneltally-cold-ms", inValue}}})
+            .coldLeft;
+    };
+    CHECK(coldLeft(200, "1500") == 1500ms);
+    CHECK(coldLeft(503, "0") == 0ms);
+    CHECK(coldLeft(200, "1e300") == 1h);
+    CHECK_FALSE(coldLeft(200, "-1"));
+    CHECK_FALSE(coldLeft(200, "soon"));
+    CHECK_FALSE(coldLeft(421, "1500"));
+    CHECK_FALSE(platform::decodeAnswer({.status = 200}).coldLeft);
+}
+
 TEST_CASE("Retry-After of a locally generated answer is in fractional seconds")
 {
     const auto head = platform::encodeLocalAnswer(503, "id1", 250ms);
--- a/tests/unit/settings_forwarding_test.cpp
+++ b/tests/unit/settings_forwarding_test.cpp
@@ -30,6 +30,9 @@
 [retries]
 ratio = 1
 slack = 58
+[cold]
+over = 1.5
+slack = 5
 )";
 
 } // namespace
@@ -41,6 +44,11 @@
     CHECK(settings->machine == "10.1.0.25");
     CHECK(settings->retryRatio == 1);
     CHECK(settings->holderPauseMs == 3000);
+    CHECK(settings->coldOver == 1.5);
+    CHECK(settings->coldSlack == 5);
+    // The template leaves the table empty where the rule is not in force.
+    const std::string empty = cFile.substr(0, cFile.find("over = 1.5"));
+    CHECK(forwarding_settings::sFromToml(empty, "a.toml")->coldOver == 0);
     CHECK(forwarding_settings::sIsForwardingFile(cFile));
     CHECK_FALSE(forwarding_settings::sIsForwardingFile("[platform]\naddress = \"1.1.1.1:1\"\n"));
 }
