--- a/corneltally/engines/endpoint_table.cpp
+++ b/corneltally/engines/endpoint_table.cpp
@@ -84,9 +84,20 @@
     endpoint &target = found->second;
     const bool restarted = isNew || target.entry.startedMs != inEntry.startedMs
         || target.entry.address != inEntry.address;
-    if (restarted)
-        target = endpoint{};
+    const bool returned = target.removed;
+    if (restarted) {
+        endpoint next;
+        next.holder = target.holder;
+        next.holderGrants = target.holderGrants;
+        next.permitNotBefore = target.permitNotBefore;
+        next.coldReported = target.coldReported;
+        target = std::move(next);
+    }
+    if (restarted || returned)
+        target.appearedAt = inNow;
     target.entry = inEntry;
+    target.entryAt = inNow;
+    applyColdEntry(target, restarted || returned, inNow);
     target.digest = digestOf(inEntry.id);
     target.startDigest = startDigest(inEntry.id, inEntry.startedMs);
     mByDigest[target.digest] = &target;
@@ -178,6 +189,7 @@
         return;
     target->holder = inHolder;
     target->holderReady = inReady;
+    target->holderGrants = inReady;
     target->holderReportAt = inNow;
     recordUnloaded(*target, inAdapters);
     target->setAdapters(std::move(inAdapters));
@@ -257,8 +269,11 @@
 
 void endpoint_table::setLiveHolders(const std::set<std::string> &inLive)
 {
-    for (auto &[id, target] : mEndpoints)
-        target.holderReady = target.holderReady && inLive.contains(target.holder);
+    for (auto &[id, target] : mEndpoints) {
+        const bool isLive = inLive.contains(target.holder);
+        target.holderReady = target.holderReady && isLive;
+        target.holderGrants = target.holderGrants && isLive;
+    }
 }
 
 void endpoint_table::forgetReports()
@@ -268,6 +283,7 @@
     mPeerRunning.clear();
     for (auto &[id, target] : mEndpoints) {
         target.holderReady = false;
+        target.holderGrants = false;
         target.holderReportAt = {};
     }
 }
--- a/corneltally/forwarding/front_service.cpp
+++ b/corneltally/forwarding/front_service.cpp
@@ -2,6 +2,7 @@
 
 #include "corneltally/core/json_log.h"
 #include "corneltally/core/metrics.h"
+#include "corneltally/engines/endpoint_exchange.h"
 #include "corneltally/forwarding/forwarded_request.h"
 #include "corneltally/http1/client_connection.h"
 #include "corneltally/kernel/event_loop.h"
@@ -40,6 +41,8 @@
                .quarantine = quarantine::part_quarantine(mOptions.instance),
                .namedVersions = {},
                .adapterUses = {},
+               .pauses = {},
+               .permits = {},
                .stopAt = {},
                .regions = mOptions.regions}
     , mPruneTimer(ioRegistry.loop(), [this] { prune(); })
@@ -86,6 +89,20 @@
         cName, [this](const orders::held_engine_changed &inChanged) {
             engineStateReceived(mOptions.instance, inChanged.state);
         });
+    ioRegistry.handle<engines::endpoint_exchange>(
+        cName, [this](const engines::endpoint_exchange &inExchange) {
+            const core::time_point now = core::boot_clock::now();
+            if (inExchange.coldLeft)
+                mContext.endpoints.applyColdAnswer(inExchange.endpoint, inExchange.startedMs,
+                                                   *inExchange.coldLeft, inExchange.sentAt, now);
+            else
+                mContext.endpoints.expectColdAfterLoss(inExchange.endpoint, inExchange.startedMs,
+                                                       now);
+        });
+    ioRegistry.handle<orders::local_permit_reply>(
+        cName, [this](const orders::local_permit_reply &inLocal) {
+            mContext.permits.replied(inLocal.reply);
+        });
     ioRegistry.handle<fleet::mesh_received>(
         cName, [this](const fleet::mesh_received &inReceived) { meshReceived(inReceived); });
     ioRegistry.handle<fleet::domain_summary_received>(
@@ -251,6 +268,12 @@
         mContext.allowance.configure(account.name, account.ratePerSecond, account.burst, now);
     }
     mContext.allowance.retainAccounts(names);
+    std::map<std::string, core::duration, std::less<>> coldTimes;
+    for (const routing::service &service : inChanged.table->source().services) {
+        if (mContext.settings.limitsCold && service.coldPerSecond > 0)
+            coldTimes.emplace(service.name, service.coldTime);
+    }
+    mContext.endpoints.setColdTimes(std::move(coldTimes));
     for (auto &[id, entry] : mCallers)
         entry.connection->setLimits(inChanged.table->source().limits);
     updateUnservedRestrictions();
@@ -343,6 +366,27 @@
                        {{"endpoint", id}, {"pause_ms", length.count() / 1000}});
 }
 
+/// Logs which endpoints became cold or warm since the last call.
+void front_service::reportCold()
+{
+    const core::time_point now = core::boot_clock::now();
+    const auto inMs = [](core::duration inDuration) {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(inDuration).count();
+    };
+    for (const engines::cold_change &change : mContext.endpoints.takeColdChanges(now)) {
+        mColdEndpoints += change.cold ? 1 : -1;
+        core::logEvent(core::log_level::info, change.cold ? "endpoint_cold" : "endpoint_warm",
+                       {{"endpoint", change.endpoint},
+                        {"source", toString(change.source)},
+                        {"age_ms", inMs(change.age)},
+                        {"cold_ms", inMs(change.remaining)}});
+        if (change.cold)
+            mContext.metrics.count("endpoints_cold_total{source=\""
+                                   + std::string(toString(change.source)) + "\"}");
+        mContext.metrics.setGauge("cold_endpoints", mColdEndpoints);
+    }
+}
+
 void front_service::engineStateReceived(const std::string &inHolder,
                                         const fleet::engine_state &inState)
 {
@@ -367,7 +411,10 @@
                                            beat->accountUses, true, now);
         quarantineReported(beat->quarantine);
         peerSaysLeaving(inReceived.instance, beat->leaving);
+        mContext.endpoints.applyPeerCold(beat->cold, now);
         messageReceived();
+    } else if (const auto *reply = std::get_if<fleet::permit_reply>(&inReceived.body)) {
+        mContext.permits.replied(*reply);
     }
 }
 
@@ -387,6 +434,7 @@
     for (const fleet::summarized_engine &engine : inSummary.engines)
         engineStateReceived(engine.holder, engine.state);
     quarantineReported(inSummary.quarantine);
+    mContext.endpoints.applyPeerCold(inSummary.cold, now);
     messageReceived();
 }
 
@@ -448,6 +496,8 @@
     }
     part.adapterUses = std::exchange(mContext.adapterUses, {});
     part.pauses = std::exchange(mContext.pauses, {});
+    part.cold = mContext.endpoints.ownColdReports(core::boot_clock::now());
+    reportCold();
     updateQuarantine();
     part.quarantine = mContext.quarantine.report();
     mContext.registry.post("orders",
--- a/corneltally/forwarding/front_service.h
+++ b/corneltally/forwarding/front_service.h
@@ -105,6 +105,7 @@
     void peerSaysLeaving(const std::string &inInstance, const std::set<std::uint64_t> &inStarts);
     void updateUnservedRestrictions();
     void prune();
+    void reportCold();
     void quarantineReported(const quarantine::quarantine_state &inState);
     void updateQuarantine();
     void destroyLater(std::unique_ptr<forwarded_request> inRequest,
@@ -125,6 +126,7 @@
     bool mHasHeardPeer = false;
     std::size_t mRunning = 0;
     routing::unserved_restrictions mUnservedRestrictions;
+    int mColdEndpoints = 0;
     bool mEndpointsListed = false;
     bool mDraining = false;
 };
--- a/corneltally/orders/order_service.cpp
+++ b/corneltally/orders/order_service.cpp
@@ -141,8 +141,16 @@
             if (beat->receiverLive)
                 mClaims.reportedLiveBy(inReceived.instance, core::boot_clock::now());
             adaptersUsed(inReceived.instance, beat->adapterUses, beat->adaptersRunning);
+        } else if (const auto *permit = std::get_if<fleet::permit_wanted>(&inReceived.body)) {
+            mRegistry.post("mesh",
+                           fleet::mesh_send{inReceived.instance,
+                                            permitRequested(*permit, inReceived.instance)});
         }
     });
+    mRegistry.handle<local_permit_wanted>(cName, [this](const local_permit_wanted &inLocal) {
+        mRegistry.post("front",
+                       local_permit_reply{permitRequested(inLocal.wanted, mOptions.self.instance)});
+    });
     mRegistry.handle<local_load_wanted>(
         cName, [this](const local_load_wanted &inLocal) { loadRequested(inLocal.wanted, "self"); });
     mRegistry.handle<local_adapter_missing>(
@@ -199,7 +207,9 @@
     mTopicLoaded = true;
     for (const auto &[engine, domain] : knownEngines()) {
         const bool holds = mClaims.holds(engine);
-        if (holds && !mHeld.contains(engine)) {
+        if (holds && coldServiceOf(engine) != nullptr)
+            mHeldCold.insert(engine);
+        if (holds && !mHeld.contains(engine) && profileOf(mEntries.at(engine)) != nullptr) {
             mHeld.emplace(engine, held_engine{engine_controller(engine, mOptions.controller)});
             configureEngine(engine);
         } else if (!holds) {
@@ -219,7 +229,7 @@
 {
     std::vector<fleet::fleet_node> engines;
     for (const auto &[id, entry] : mEntries) {
-        if (profileOf(entry) != nullptr)
+        if (profileOf(entry) != nullptr || coldServiceOf(id) != nullptr)
             engines.push_back({id, entry.failureDomain});
     }
     return engines;
@@ -428,6 +438,7 @@
     const core::time_point now = core::boot_clock::now();
     updatePollWait(now);
     claimEngines(now);
+    advancePermits(now);
     for (auto &[engine, state] : mHeld) {
         advanceEngine(engine, state, now);
         const engines::endpoint_condition *condition
@@ -495,7 +506,7 @@
     mFetcher.fetch(platform::orderRequest(entry.address, inEngine, order),
                    [this, inEngine, inOrder, sentAt,
                     startedMs = entry.startedMs](const http1::fetch_result &inResult) {
-                       answerReceived(inEngine, startedMs, inResult);
+                       answerReceived(inEngine, startedMs, sentAt, inResult);
                        orderEnded(inEngine, inOrder, platform::decodeOrderOutcome(inResult),
                                   sentAt);
                    });
@@ -527,9 +538,9 @@
 {
     ioHeld.controller.reportStarted(inNow);
     mFetcher.fetch(platform::reportRequest(ioHeld.controller.entry().address),
-                   [this, inEngine, startedMs = ioHeld.controller.entry().startedMs](
+                   [this, inEngine, inNow, startedMs = ioHeld.controller.entry().startedMs](
                        const http1::fetch_result &inResult) {
-                       answerReceived(inEngine, startedMs, inResult);
+                       answerReceived(inEngine, startedMs, inNow, inResult);
                        const auto found = mHeld.find(inEngine);
                        if (found == mHeld.end())
                            return;
@@ -546,12 +557,14 @@
 }
 
 void order_service::answerReceived(const std::string &inEngine, std::uint64_t inStartedMs,
-                                   const http1::fetch_result &inResult)
+                                   core::time_point inSentAt, const http1::fetch_result &inResult)
 {
     const engines::endpoint_noticed noticed{
         inEngine, inStartedMs, platform::decodeNotice(inResult.status, inResult.fields)};
     // A report may come from another start of the engine, or from another engine at its address.
     const auto report = platform::decodeReport(inResult);
+    if (!report || report->startedMs == inStartedMs)
+        reportCold(inEngine, inStartedMs, inSentAt, inResult);
     if (noticed.notice == engines::endpoint_notice()
         || (report && report->startedMs != inStartedMs))
         return;
--- a/corneltally/settings/forwarding_settings.h
+++ b/corneltally/settings/forwarding_settings.h
@@ -46,6 +46,10 @@
     double promptTokensPerMs = 40;
     /// Region of each failure domain. A failure domain that is not listed is in no region.
     std::map<std::string, std::string, std::less<>> regions;
+    /// Requests that a cold endpoint may receive in a second: a multiple of what it sustains, and
+    /// additional ones. Without the factor the rule is not in force.
+    double coldOver = 0;
+    double coldSlack = 0;
 
     /// Parses and checks a file. On failure the error lists every problem on a line of its own;
     /// outProblems receives them individually.
