Send nothing new to endpoints of an evacuated failure domain

Cause: operators ask for a way to take a failure domain out of use without stopping its instances; records without value in the operator topic were ignored. Change: evacuation_records decides from records, deletions, absence from a listing and late copies which failure domains are evacuated; the catalog tells the front and order services, relays deletions, and relays the records to instances that ask for loads there. Requests that wait or are not yet sent choose again at once. Unit tests of the catalog, relay, choice, front and orders pass.

--- a/corneltally/catalog/catalog_service.h
+++ b/corneltally/catalog/catalog_service.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "corneltally/catalog/catalog_messages.h"
+#include "corneltally/catalog/evacuation_messages.h"
+#include "corneltally/catalog/evacuation_tracker.h"
 #include "corneltally/catalog/record_catch_up.h"
 #include "corneltally/core/json_log.h"
 #include "corneltally/core/metrics.h"
@@ -12,6 +14,7 @@
 #include "platform/document_codec.h"
 
 #include <algorithm>
+#include <iterator>
 #include <map>
 #include <memory>
 #include <set>
@@ -95,6 +98,7 @@
         , mOperatorRelayTimer(ioRegistry.loop(),
                               [this] { readMissingRecords(mCatchUp.reported()); })
         , mCatchUp(inOptions.instance, inOptions.catchUp)
+        , mEvacuations(ioRegistry, ioMetrics)
     {
         mRegistry.handle<fleet_topic_append>(
             cName, [this](const fleet_topic_append &inAppend) { append(inAppend); });
@@ -142,12 +146,22 @@
             cName, [this](const operator_records_requested &inRequested) {
                 relayOperatorRecords(inRequested);
             });
+        mRegistry.handle<evacuation_unknown>(cName, [this](const evacuation_unknown &inUnknown) {
+            // An empty range: the receiver may lack records before these.
+            mRegistry.broadcast(
+                operator_records_relay{inUnknown.instance, mEvacuations.records().all()});
+        });
     }
 
     static constexpr std::string_view cName = "catalog";
 
     std::string_view name() const override { return cName; }
 
+    std::string dump() const override
+    {
+        return "{\"evacuations\":" + mEvacuations.dump(core::boot_clock::now()) + "}";
+    }
+
     void start() override
     {
         mOperator.start();
@@ -200,6 +214,9 @@
     void operatorUpdated(const store::topic_update &inUpdate)
     {
         std::size_t bytes = 0;
+        // Evacuations come first, so that no request is sent on a configuration without them.
+        mEvacuations.apply(inUpdate.records, inUpdate.from, inUpdate.end, "store",
+                           core::boot_clock::now());
         for (const store::record &record : inUpdate.records) {
             applyOperatorRecord(record, "store");
             bytes += record.value ? record.value->size() : 0;
@@ -216,6 +233,8 @@
 
     void operatorRecordsReceived(const operator_records_received &inReceived)
     {
+        mEvacuations.apply(inReceived.records, inReceived.from, inReceived.end, "instance",
+                           core::boot_clock::now());
         for (const store::record &record : inReceived.records)
             applyOperatorRecord(record, "instance");
         // Without the records before them these prove nothing about what is known.
@@ -234,11 +253,13 @@
         const auto peer = mCatchUp.peerToAsk(mOperator.isFailing(), now);
         if (!peer)
             return;
-        core::logEvent(
-            core::log_level::info, "operator_records_requested",
-            {{"peer", *peer}, {"from", mCatchUp.end()}, {"store_failing", mOperator.isFailing()}});
+        // The peer may know of the end of an evacuation only by the absence of its record, which a
+        // relay of the range with this record shows.
+        const std::uint64_t from = mEvacuations.records().firstInForce(mCatchUp.end());
+        core::logEvent(core::log_level::info, "operator_records_requested",
+                       {{"peer", *peer}, {"from", from}, {"store_failing", mOperator.isFailing()}});
         mMetrics.count("operator_records_requested_total");
-        mRegistry.broadcast(operator_records_request{*peer, mCatchUp.end()});
+        mRegistry.broadcast(operator_records_request{*peer, from});
     }
 
     /// Reads the operator records at the store if the reader has not relayed them.
@@ -260,7 +281,7 @@
 
     void applyOperatorRecord(const store::record &inRecord, std::string_view inSource)
     {
-        if (!inRecord.value)
+        if (!inRecord.value || evacuation_tracker::sIsEvacuation(inRecord))
             return;
         const auto known = mOperatorRecords.find(inRecord.key);
         if (known != mOperatorRecords.end() && known->second.offset >= inRecord.offset) {
@@ -311,7 +332,8 @@
         return true;
     }
 
-    /// The newest operator records from an offset on, in the order of their offsets.
+    /// The newest operator records from an offset on, in the order of their offsets, with the
+    /// deletions of evacuations.
     std::vector<store::record> operatorRecordsFrom(std::uint64_t inOffset) const
     {
         std::vector<store::record> records;
@@ -319,12 +341,16 @@
             if (record.offset >= inOffset)
                 records.push_back(record);
         }
+        std::ranges::copy_if(
+            mEvacuations.records().all(), std::back_inserter(records),
+            [&](const store::record &inRecord) { return inRecord.offset >= inOffset; });
         std::ranges::sort(records, {}, &store::record::offset);
         return records;
     }
 
     /// Relays records in parts. Each covers the range after the one before it, so that a transfer
-    /// that breaks off leaves no gap.
+    /// that breaks off leaves no gap. The first one also has all evacuations, since the receiver
+    /// would end one whose record was deleted and written again when it gets the former's range.
     void relayOperatorRecords(const operator_records_requested &inRequested)
     {
         std::size_t count = 0;
@@ -333,6 +359,9 @@
         operator_records_relay part{.instance = inRequested.instance, .from = inRequested.from};
         for (store::record &record : operatorRecordsFrom(inRequested.from)) {
             if (partBytes >= cMaxRelayBytes) {
+                if (part.from == inRequested.from)
+                    std::ranges::copy(mEvacuations.records().all(),
+                                      std::back_inserter(part.records));
                 part.end = record.offset;
                 mRegistry.broadcast(part);
                 part.records.clear();
@@ -340,8 +369,9 @@
                 partBytes = 0;
             }
             ++count;
-            bytes += record.value->size();
-            partBytes += record.value->size();
+            const std::size_t size = record.value ? record.value->size() : 0;
+            bytes += size;
+            partBytes += size;
             part.records.push_back(std::move(record));
         }
         part.end = mCatchUp.end();
@@ -435,6 +465,7 @@
 
     void checkStore()
     {
+        mEvacuations.updateAges(core::boot_clock::now());
         const bool failing = mEndpoints.isFailing();
         if (failing != mStoreFailing) {
             mStoreFailing = failing;
@@ -464,6 +495,7 @@
     kernel::timer mCheckTimer;
     kernel::timer mOperatorRelayTimer;
     record_catch_up mCatchUp;
+    evacuation_tracker mEvacuations;
     std::map<std::string, store::record, std::less<>> mOperatorRecords;
     std::uint64_t mVersion = 0;
     std::map<std::string, std::string, std::less<>> mEntryValues;
--- a/corneltally/engines/endpoint_table.cpp
+++ b/corneltally/engines/endpoint_table.cpp
@@ -124,7 +124,7 @@
     std::optional<std::pair<core::time_point, core::time_point>> ends;
     for (const auto &[id, target] : mEndpoints) {
         if (target.entry.service != inService || target.removed || target.entry.leaving
-            || target.condition.isLeaving())
+            || target.condition.isLeaving() || isEvacuated(target))
             continue;
         if (!target.condition.isPaused(inNow))
             return std::nullopt;
@@ -271,6 +271,21 @@
     }
 }
 
+void endpoint_table::setEvacuated(const std::string &inFailureDomain, bool inEvacuated)
+{
+    if (inEvacuated)
+        mEvacuated.insert(inFailureDomain);
+    else
+        mEvacuated.erase(inFailureDomain);
+}
+
+bool endpoint_table::hasEvacuated(std::string_view inService) const
+{
+    return !mEvacuated.empty() && std::ranges::any_of(mEndpoints, [&](const auto &inEntry) {
+        return inEntry.second.entry.service == inService && isEvacuated(inEntry.second);
+    });
+}
+
 endpoint *endpoint_table::find(std::string_view inId)
 {
     const auto found = mEndpoints.find(inId);
@@ -335,8 +350,8 @@
 
 bool endpoint_table::usable(const endpoint &inEndpoint, core::time_point inNow) const
 {
-    if (inEndpoint.entry.leaving || !inEndpoint.condition.takesRequests(inNow)
-        || inNow < inEndpoint.notBefore)
+    if (inEndpoint.entry.leaving || isEvacuated(inEndpoint)
+        || !inEndpoint.condition.takesRequests(inNow) || inNow < inEndpoint.notBefore)
         return false;
     return !inEndpoint.removed || inNow - inEndpoint.removedAt < sReturnTimeout;
 }
@@ -345,7 +360,7 @@
 {
     std::vector<endpoint *> found;
     for (auto &[id, target] : mEndpoints) {
-        if (target.entry.service == inService)
+        if (target.entry.service == inService && !isEvacuated(target))
             found.push_back(&target);
     }
     return found;
--- a/corneltally/engines/endpoint_table.h
+++ b/corneltally/engines/endpoint_table.h
@@ -195,6 +195,15 @@
     /// Discards the reports of other instances and holders, for example after a process pause.
     void forgetReports();
 
+    /// Begins or ends the evacuation of a failure domain. Its endpoints are not usable meanwhile.
+    void setEvacuated(const std::string &inFailureDomain, bool inEvacuated);
+    bool isEvacuated(const endpoint &inEndpoint) const
+    {
+        return mEvacuated.contains(inEndpoint.entry.failureDomain);
+    }
+    /// Whether a service has endpoints in an evacuated failure domain.
+    bool hasEvacuated(std::string_view inService) const;
+
     endpoint *find(std::string_view inId);
     const endpoint *find(std::string_view inId) const;
 
@@ -212,7 +221,8 @@
     /// Endpoints whose pauses have ended since the last call, with the lengths of the pauses.
     std::vector<std::pair<std::string, core::duration>> takeEndedPauses(core::time_point inNow);
 
-    /// Endpoints of a service in the order of their ids.
+    /// Endpoints of a service in the order of their ids, without those in evacuated failure
+    /// domains.
     std::vector<endpoint *> ofService(std::string_view inService);
 
     /// Drops old state and updates the median pauses; call about once a second.
@@ -233,6 +243,8 @@
     void subtractPeer(const peer_loads &inPeer);
 
     std::map<std::string, endpoint, std::less<>> mEndpoints;
+    /// Evacuated failure domains.
+    std::set<std::string, std::less<>> mEvacuated;
     std::unordered_map<endpoint_digest, endpoint *> mByDigest;
     std::map<std::string, peer_loads, std::less<>> mPeers;
     /// Sums over mPeers, so that the cost of a choice does not grow with the instances.
--- a/corneltally/forwarding/forwarded_request.cpp
+++ b/corneltally/forwarding/forwarded_request.cpp
@@ -249,7 +249,10 @@
         if (mFailureAnswerStored)
             passFailure();
         else if (mRunState == run_state::not_run)
-            refuseUnserved("no endpoint can serve the request");
+            refuseUnserved(mContext.endpoints.hasEvacuated(mService->name)
+                               ? "no endpoint outside the evacuated failure domains can serve the "
+                                 "request"
+                               : "no endpoint can serve the request");
         else
             answerUnknown("no other endpoint can serve the request");
         return;
--- a/corneltally/forwarding/forwarded_request.h
+++ b/corneltally/forwarding/forwarded_request.h
@@ -50,6 +50,10 @@
     /// received.
     void partsQuarantined();
 
+    /// Called when a failure domain was evacuated. A request that is for one of its endpoints, and
+    /// was not yet sent, chooses again.
+    void leaveEvacuated();
+
     /// Ends the request because the instance is about to exit.
     void endForStop();
 
--- a/corneltally/forwarding/front_service.cpp
+++ b/corneltally/forwarding/front_service.cpp
@@ -79,6 +79,9 @@
             mContext.endpoints.keepOnly(inListed.ids, inListed.mayReturn, core::boot_clock::now());
             mEndpointsListed = true;
         });
+    ioRegistry.handle<catalog::evacuation_changed>(
+        cName,
+        [this](const catalog::evacuation_changed &inChanged) { evacuationChanged(inChanged); });
     ioRegistry.handle<engines::endpoint_noticed>(
         cName, [this](const engines::endpoint_noticed &inNoticed) { endpointNoticed(inNoticed); });
     ioRegistry.handle<orders::held_engine_changed>(
@@ -473,6 +476,8 @@
         text.append("\",\"holder\":\"").append(core::jsonEscape(target.holder));
         text.append("\",\"ready\":").append(target.holderReady ? "true" : "false");
         text.append(",\"leaving\":").append(target.entry.leaving ? "true" : "false");
+        text.append(",\"evacuated\":")
+            .append(mContext.endpoints.isEvacuated(target) ? "true" : "false");
         text.append(",\"removed\":").append(target.removed ? "true" : "false");
         text.append(",\"requests\":").append(std::to_string(target.own.requests));
         text.append(",\"resident\":").append(std::to_string(target.adapters.resident.size()));
--- a/corneltally/forwarding/front_service.h
+++ b/corneltally/forwarding/front_service.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "corneltally/catalog/catalog_messages.h"
+#include "corneltally/catalog/evacuation_messages.h"
 #include "corneltally/fleet/mesh_messages.h"
 #include "corneltally/forwarding/forward_context.h"
 #include "corneltally/http1/listener.h"
@@ -91,6 +92,7 @@
     void callerClosed(std::uint64_t inCaller);
     void configurationChanged(const catalog::configuration_changed &inChanged);
     void endpointChanged(const std::string &inEndpoint);
+    void evacuationChanged(const catalog::evacuation_changed &inChanged);
     void meshReceived(const fleet::mesh_received &inReceived);
     void summaryReceived(const fleet::domain_summary &inSummary);
     void engineStateReceived(const std::string &inHolder, const fleet::engine_state &inState);
--- a/corneltally/orders/order_service.cpp
+++ b/corneltally/orders/order_service.cpp
@@ -97,6 +97,9 @@
         });
     mRegistry.handle<catalog::adapter_version_named>(
         cName, [this](const catalog::adapter_version_named &inNamed) { versionNamed(inNamed); });
+    mRegistry.handle<catalog::evacuation_changed>(
+        cName,
+        [this](const catalog::evacuation_changed &inChanged) { evacuationChanged(inChanged); });
     mRegistry.handle<catalog::endpoint_changed>(
         cName,
         [this](const catalog::endpoint_changed &inChanged) { endpointChanged(inChanged.entry); });
@@ -144,7 +147,7 @@
         }
     });
     mRegistry.handle<local_load_wanted>(
-        cName, [this](const local_load_wanted &inLocal) { loadRequested(inLocal.wanted, "self"); });
+        cName, [this](const local_load_wanted &inLocal) { loadRequested(inLocal.wanted, cLocal); });
     mRegistry.handle<local_adapter_missing>(
         cName, [this](const local_adapter_missing &inLocal) { adapterMissing(inLocal.missing); });
     mRegistry.handle<local_adapter_uses>(cName, [this](const local_adapter_uses &inLocal) {
@@ -346,6 +349,10 @@
                        {{"endpoint", inWanted.endpoint}, {"from", inFrom}});
         return;
     }
+    if (isEvacuated(found->second)) {
+        declineLoad(inWanted, std::string(inFrom));
+        return;
+    }
     found->second.controller.adapterRequested(inWanted.model, inWanted.adapter, inWanted.version,
                                               inWanted.tokens, now);
     advanceEngine(inWanted.endpoint, found->second, now);
@@ -585,6 +592,8 @@
 bool order_service::takesOrders(const std::string &inEngine, const held_engine &inHeld,
                                 core::time_point inNow) const
 {
+    if (isEvacuated(inHeld))
+        return false;
     const engines::endpoint_condition *condition
         = conditionOf(inEngine, inHeld.controller.entry().startedMs);
     return condition == nullptr || condition->takesRequests(inNow);
--- a/corneltally/orders/order_service.h
+++ b/corneltally/orders/order_service.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "corneltally/catalog/catalog_messages.h"
+#include "corneltally/catalog/evacuation_messages.h"
 #include "corneltally/engines/endpoint_condition.h"
 #include "corneltally/fleet/holder_claims.h"
 #include "corneltally/fleet/mesh_messages.h"
@@ -43,6 +44,8 @@
 {
 public:
     static constexpr std::string_view cName = "orders";
+    /// Sender of the requests for loads that come from this instance.
+    static constexpr std::string_view cLocal = "self";
 
     order_service(kernel::service_registry &ioRegistry, core::metrics &ioMetrics,
                   order_options inOptions);
@@ -69,6 +72,9 @@
         core::time_point notedAt;
     };
 
+    void evacuationChanged(const catalog::evacuation_changed &inChanged);
+    bool isEvacuated(const held_engine &inHeld) const;
+    void declineLoad(const fleet::load_wanted &inWanted, const std::string &inFrom);
     void topicUpdated(const catalog::fleet_topic_updated &inUpdate);
     void endpointChanged(const engines::endpoint_entry &inEntry);
     void endpointRemoved(const std::string &inId);
@@ -120,6 +126,8 @@
     /// lapse and come back.
     std::map<std::string, noted_condition> mConditions;
     std::map<std::string, std::uint64_t> mNamedVersions;
+    /// Evacuated failure domains, whose engines get no orders.
+    std::set<std::string> mEvacuated;
     std::vector<fleet::live_candidate> mLive;
     /// Adapters of the engines that other instances hold, by engine.
     std::map<std::string, engines::residency> mRemoteAdapters;
