Confirm evacuations after a process pause, and test evacuations with processes

Cause: an instance that was paused while a failure domain was evacuated sent requests on what it knew before.

--- a/corneltally/catalog/catalog_service.h
+++ b/corneltally/catalog/catalog_service.h
@@ -146,6 +146,8 @@
             cName, [this](const operator_records_requested &inRequested) {
                 relayOperatorRecords(inRequested);
             });
+        mRegistry.handle<operator_records_poll>(
+            cName, [this](const operator_records_poll &) { mOperator.poll(); });
         mRegistry.handle<evacuation_unknown>(cName, [this](const evacuation_unknown &inUnknown) {
             // An empty range: the receiver may lack records before these.
             mRegistry.broadcast(
@@ -222,6 +224,7 @@
             bytes += record.value ? record.value->size() : 0;
         }
         advanceOperatorEnd(inUpdate.end);
+        mRegistry.broadcast(operator_records_confirmed{inUpdate.asOf});
         if (!mReader.reads || !mReader.hasLocalPeers)
             return;
         // Without records it tells that the topic is being read.
--- a/corneltally/catalog/evacuation_messages.h
+++ b/corneltally/catalog/evacuation_messages.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "corneltally/core/boot_clock.h"
+
 #include <cstdint>
 #include <string>
 
@@ -18,6 +20,16 @@
     friend auto operator<=>(const evacuation_changed &, const evacuation_changed &) = default;
 };
 
+/// Asks to read the operator records now, without waiting for a change.
+struct operator_records_poll
+{ };
+
+/// A read of the operator records succeeded. All changes before its start are applied.
+struct operator_records_confirmed
+{
+    core::time_point asOf;
+};
+
 /// Another instance has not yet learned of an evacuation and is to be relayed its record.
 struct evacuation_unknown
 {
--- a/corneltally/forwarding/forward_context.h
+++ b/corneltally/forwarding/forward_context.h
@@ -84,6 +84,8 @@
     std::vector<fleet::answer_pause> pauses;
     /// When the requests of this instance are ended; set while it is stopping.
     std::optional<core::time_point> stopAt;
+    /// Whether requests wait before they are sent, see front_options::confirmsEvacuations.
+    bool sendsHeld = false;
 };
 
 } // namespace corneltally::forwarding
--- a/corneltally/forwarding/forwarded_request.cpp
+++ b/corneltally/forwarding/forwarded_request.cpp
@@ -280,6 +280,11 @@
     const core::time_point now = core::boot_clock::now();
     mAdapterTimer.cancel();
     uncountWaiting();
+    mHeld = mContext.sendsHeld;
+    if (mHeld) {
+        mState = state::received;
+        return;
+    }
     engines::endpoint &target = *mContext.endpoints.find(mChoice.endpoint);
     mState = state::sent;
     mSentAt = now;
--- a/corneltally/forwarding/forwarded_request.h
+++ b/corneltally/forwarding/forwarded_request.h
@@ -54,6 +54,12 @@
     /// was not yet sent, chooses again.
     void leaveEvacuated();
 
+    /// Called when no request may be sent for now. One that is being sent, but of which nothing was
+    /// sent yet, waits for sendHeld().
+    void holdUnsent();
+    /// Called when requests may be sent again. A request that waits for it chooses again.
+    void sendHeld();
+
     /// Ends the request because the instance is about to exit.
     void endForStop();
 
@@ -98,6 +104,8 @@
     bool isAdapterResident() const;
     void finish(int inStatus, std::string_view inOutcome, std::string_view inReason);
     void cancelAttempt();
+    bool isUnsent() const;
+    void recallUnsent();
     void abortAnswer(std::string_view inReason);
     void countWaiting(engines::endpoint &ioTarget);
     void uncountWaiting();
@@ -160,6 +168,8 @@
     bool mAnswerStarted = false;
     bool mBuffersAnswer = false;
     double mChargedAmount = 0;
+    /// Whether the request waits until requests may be sent again.
+    bool mHeld = false;
     bool mWaitingCounted = false;
     bool mLoadCounted = false;
     bool mPromptCounted = false;
--- a/corneltally/forwarding/forwarded_request_evacuation.cpp
+++ b/corneltally/forwarding/forwarded_request_evacuation.cpp
@@ -5,30 +5,54 @@
 
 namespace corneltally::forwarding {
 
+/// Whether the request is to be sent on a connection that is not established yet.
+bool forwarded_request::isUnsent() const
+{
+    return mState == state::sent && mUpstream && !mUpstream->sent();
+}
+
+/// Undoes an attempt of which nothing has reached the endpoint.
+void forwarded_request::recallUnsent()
+{
+    if (engines::endpoint *target = currentTarget())
+        target->health.abandoned();
+    cancelAttempt();
+    --mSendCount;
+    mUsedEndpoints.erase(mChoice.endpoint);
+    mState = state::received;
+}
+
 void forwarded_request::leaveEvacuated()
 {
-    engines::endpoint *target = mContext.endpoints.find(mChoice.endpoint);
-    if (target == nullptr || !mContext.endpoints.isEvacuated(*target))
-        return;
-    const bool isUnsent = mState == state::sent && mUpstream && !mUpstream->sent();
-    if (mState != state::waiting && !isUnsent)
+    const engines::endpoint *target = mContext.endpoints.find(mChoice.endpoint);
+    const bool wasUnsent = isUnsent();
+    if (target == nullptr || !mContext.endpoints.isEvacuated(*target)
+        || (mState != state::waiting && !wasUnsent))
         return;
     core::logEvent(core::log_level::info, "request_left_evacuated",
                    {{"request", mTerms.requestId},
                     {"endpoint", mChoice.endpoint},
                     {"failure_domain", target->entry.failureDomain},
-                    {"waited_for", isUnsent ? "connection" : "adapter"}});
+                    {"waited_for", wasUnsent ? "connection" : "adapter"}});
     mContext.metrics.count("evacuation_rechoices_total");
-    if (isUnsent) {
-        // The connection is not established; nothing of the request reached the endpoint.
-        if (target->entry.startedMs == mEndpointStart)
-            target->health.abandoned();
-        cancelAttempt();
-        --mSendCount;
-        mUsedEndpoints.erase(mChoice.endpoint);
-    }
+    if (wasUnsent)
+        recallUnsent();
     mAdapterTimer.cancel();
     chooseAndSend();
 }
 
+void forwarded_request::holdUnsent()
+{
+    if (!isUnsent())
+        return;
+    recallUnsent();
+    mHeld = true;
+}
+
+void forwarded_request::sendHeld()
+{
+    if (mHeld && mState == state::received)
+        chooseAndSend();
+}
+
 } // namespace corneltally::forwarding
--- a/corneltally/forwarding/front_service.cpp
+++ b/corneltally/forwarding/front_service.cpp
@@ -40,11 +40,13 @@
                .quarantine = quarantine::part_quarantine(mOptions.instance),
                .namedVersions = {},
                .adapterUses = {},
-               .stopAt = {}}
+               .stopAt = {},
+               .sendsHeld = false}
     , mPruneTimer(ioRegistry.loop(), [this] { prune(); })
     , mListener(ioRegistry.loop(), [this](int inSocket) { accept(inSocket); })
     , mBodyBudget(std::make_shared<http1::body_budget>(mOptions.bodyBudgetBytes))
     , mEarlyTimer(ioRegistry.loop(), [this] { beginEarlyRequests(); })
+    , mHoldTimer(ioRegistry.loop(), [this] { releaseSends(false); })
 {
     ioRegistry.handle<catalog::configuration_changed>(
         cName, [this](const catalog::configuration_changed &inChanged) {
@@ -82,6 +84,11 @@
     ioRegistry.handle<catalog::evacuation_changed>(
         cName,
         [this](const catalog::evacuation_changed &inChanged) { evacuationChanged(inChanged); });
+    ioRegistry.handle<catalog::operator_records_confirmed>(
+        cName, [this](const catalog::operator_records_confirmed &inConfirmed) {
+            if (mContext.sendsHeld && inConfirmed.asOf >= mHeldSince)
+                releaseSends(true);
+        });
     ioRegistry.handle<engines::endpoint_noticed>(
         cName, [this](const engines::endpoint_noticed &inNoticed) { endpointNoticed(inNoticed); });
     ioRegistry.handle<orders::held_engine_changed>(
@@ -463,6 +470,8 @@
 {
     mContext.endpoints.forgetReports();
     mContext.allowance.resetAfterPause(core::boot_clock::now());
+    if (mOptions.confirmsEvacuations)
+        holdSends();
 }
 
 std::string front_service::dump() const
--- a/corneltally/forwarding/front_service.h
+++ b/corneltally/forwarding/front_service.h
@@ -15,6 +15,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace corneltally::forwarding {
 
@@ -27,6 +28,9 @@
     http1::address listen;
     forward_settings settings;
     limits::fleet_retry_budget::limits retries;
+    /// Whether nothing is sent after a process pause until the operator records were read again,
+    /// since a failure domain may have been evacuated meanwhile.
+    bool confirmsEvacuations = false;
     /// Bytes that the bodies of requests may take together.
     std::uint64_t bodyBudgetBytes = 128 * 1024 * 1024;
     /// Time after the start in which requests wait for the first message of another instance, which
@@ -93,6 +97,9 @@
     void configurationChanged(const catalog::configuration_changed &inChanged);
     void endpointChanged(const std::string &inEndpoint);
     void evacuationChanged(const catalog::evacuation_changed &inChanged);
+    std::vector<forwarded_request *> requests() const;
+    void holdSends();
+    void releaseSends(bool inConfirmed);
     void meshReceived(const fleet::mesh_received &inReceived);
     void summaryReceived(const fleet::domain_summary &inSummary);
     void engineStateReceived(const std::string &inHolder, const fleet::engine_state &inState);
@@ -115,6 +122,8 @@
     /// Requests that arrived before the first message of another instance, by caller.
     std::map<std::uint64_t, http1::server_request> mEarlyRequests;
     kernel::timer mEarlyTimer;
+    kernel::timer mHoldTimer;
+    core::time_point mHeldSince;
     core::time_point mStartedAt;
     bool mHasPeers = false;
     bool mHasHeardPeer = false;
--- a/corneltally/forwarding/instance.cpp
+++ b/corneltally/forwarding/instance.cpp
@@ -70,6 +70,19 @@
     return static_cast<std::uint64_t>(inSettings.memoryMb) * cBytesPerMb / cBodyShare;
 }
 
+/// Wait of reads of the operator records. The bound of evacuations also holds for an instance
+/// without others that relay the records, when a read misses a record or its connection is dead.
+core::duration operatorWait(const settings::forwarding_settings &inSettings)
+{
+    constexpr core::duration cReadTime = milliseconds(2000);
+    constexpr core::duration cMinWait = milliseconds(500);
+    const core::duration usual = catalog::catalog_options().operatorWait;
+    if (inSettings.evacuationMs == 0)
+        return usual;
+    return std::clamp<core::duration>(milliseconds(inSettings.evacuationMs) - cReadTime, cMinWait,
+                                      usual);
+}
+
 /// Owns the services of a forwarding instance.
 class instance
 {
@@ -97,7 +110,8 @@
             catalog::catalog_options{.instance = inSettings.instanceName,
                                      .operatorTopic = platform::cOperatorTopic,
                                      .endpointTopic = platform::cEndpointTopic,
-                                     .fleetTopic = fleet::cFleetTopic}));
+                                     .fleetTopic = fleet::cFleetTopic,
+                                     .operatorWait = operatorWait(inSettings)}));
     }
 
     bool listen()
@@ -143,6 +157,7 @@
                               .failureDomain = mSettings.failureDomain,
                               .listen = addressOf(mSettings.callers),
                               .retries = retryLimits(mSettings),
+                              .confirmsEvacuations = mSettings.evacuationMs > 0,
                               .bodyBudgetBytes = bodyBudgetBytes(mSettings)};
         options.settings.choice.adapterLoad = milliseconds(mSettings.adapterLoadMs);
         options.settings.choice.promptTokensPerMs = mSettings.promptTokensPerMs;
--- a/corneltally/settings/forwarding_settings.cpp
+++ b/corneltally/settings/forwarding_settings.cpp
@@ -43,6 +43,8 @@
         {{"retries", false, {"window_ms", integer, "milliseconds", "10000", 100, 6e5, ""}},
          &self::retryWindowMs},
         {{"retries", false, {"slack", number, "requests", "0", 0, 1e6, ""}}, &self::retrySlack},
+        {{"evacuation", false, {"within_ms", integer, "milliseconds", "0", 0, 6e5, ""}},
+         &self::evacuationMs},
         {{"engines", false, {"adapter_load_ms", integer, "milliseconds", "250", 1, 6e4, ""}},
          &self::adapterLoadMs},
         {{"engines", false, {"prompt_tokens_per_ms", number, "tokens/ms", "40", 0.01, 1e6, ""}},
--- a/corneltally/settings/forwarding_settings.h
+++ b/corneltally/settings/forwarding_settings.h
@@ -32,6 +32,9 @@
     /// Minimum time between the last order of an engine's holder and the first order of the next
     /// holder.
     std::int64_t holderPauseMs = 3000;
+    /// Time within which the evacuation of a failure domain must be in force; zero if there is no
+    /// such bound.
+    std::int64_t evacuationMs = 0;
     /// Retry budget over all instances: ratio of retries to requests per window, and additional
     /// retries per window.
     double retryRatio = 0.2;
--- a/standins/site.cpp
+++ b/standins/site.cpp
@@ -230,6 +230,7 @@
                            "peers = \"127.0.0.1:0\"\n[store]\naddress = \""
                         << storeAddress << "\"\n"
                         << seeds << "[limits]\nstop_ms = " << mOptions.stopMs
+                        << "\n[evacuation]\nwithin_ms = " << mOptions.evacuateMs
                         << "\n[retries]\nslack = 1000\n";
     return startProcess(inName, "corneltally", {"forward", "--settings", file});
 }
@@ -257,6 +258,15 @@
     return mProbe.post(process("store").port("http"), "/control/put", body.dump()).status == 200;
 }
 
+bool site::evacuate(const std::string &inFailureDomain, bool inEvacuated)
+{
+    json body{{"topic", platform::cOperatorTopic},
+              {"key", platform::evacuationKey(inFailureDomain)}};
+    if (inEvacuated)
+        body["value"] = json::object();
+    return mProbe.post(process("store").port("http"), "/control/put", body.dump()).status == 200;
+}
+
 bool site::setFaults(const std::string &inName, const json &inFaults)
 {
     return mProbe.post(process(inName).port("http"), "/control/faults", inFaults.dump()).status
--- a/standins/site.h
+++ b/standins/site.h
@@ -32,6 +32,8 @@
     bool oneMachine = false;
     /// Time between SIGTERM and the end of an instance by force.
     int stopMs = 6000;
+    /// Bound of evacuations in the settings of the instances; zero for none.
+    int evacuateMs = 0;
 };
 
 /// Starts and stops the processes of a platform with forwarding instances: the store, endpoints,
@@ -62,6 +64,10 @@
     bool publish();
     bool nameVersion(const std::string &inAdapter, std::uint64_t inVersion);
 
+    /// Writes or deletes the record that evacuates a failure domain. Returns once the store has
+    /// acknowledged it.
+    bool evacuate(const std::string &inFailureDomain, bool inEvacuated = true);
+
     bool setFaults(const std::string &inName, const nlohmann::json &inFaults);
     /// A fault of links of the proxy; without names, of all.
     bool linkFault(const std::vector<std::string> &inLinks, const std::string &inFault,
@@ -77,6 +83,9 @@
     static bool waitFor(const std::function<bool()> &inCondition,
                         std::chrono::milliseconds inLimit = std::chrono::seconds(30));
 
+    /// Failure domain of a process.
+    std::string domainOf(const std::string &inName) const;
+
     /// Facts of the ledger of a kind.
     std::vector<nlohmann::json> facts(const std::string &inKind) const;
     /// Lines that a process has logged since the first start, each an object.
@@ -97,7 +106,6 @@
     bool startProcess(const std::string &inName, const std::string &inProgram,
                       std::vector<std::string> inArguments);
     bool setLink(const std::string &inLink, const std::string &inTarget);
-    std::string domainOf(const std::string &inName) const;
     std::string linkAddress(const std::string &inLink);
 
     site_options mOptions;
--- a/standins/site_store.h
+++ b/standins/site_store.h
@@ -29,8 +29,9 @@
 /// conditional appends, reads that wait, and the newest record of each key. It also removes the
 /// entries of endpoints that went silent.
 ///
-/// Control calls, which also work during an outage: POST /control/put {"topic","key","value"};
-/// POST /control/heartbeat {"key","entry"}; POST /control/faults {"mode":"none"|"busy"|"silent"|
+/// Control calls, which also work during an outage: POST /control/put {"topic","key","value"},
+/// which without a value deletes the key; POST /control/heartbeat {"key","entry"}; POST
+/// /control/faults {"mode":"none"|"busy"|"silent"|
 /// "reset","lose":n,"late":n,"late_ms":t,"forget":true}.
 class site_store
 {
