--- a/corneltally/forwarding/forward_context.h
+++ b/corneltally/forwarding/forward_context.h
@@ -91,6 +91,8 @@
     std::optional<core::time_point> stopAt;
     /// Region of each failure domain, from the settings.
     routing::domain_regions regions = {};
+    /// Whether requests wait before they are sent, see front_options::confirmsEvacuations.
+    bool sendsHeld = false;
 };
 
 } // namespace corneltally::forwarding
--- a/corneltally/forwarding/forwarded_request.cpp
+++ b/corneltally/forwarding/forwarded_request.cpp
@@ -258,7 +258,7 @@
         if (mFailureAnswerStored)
             passFailure();
         else if (mRunState == run_state::not_run)
-            refuseUnserved(regionRefusal());
+            refuseUnserved(unservedReason());
         else
             answerUnknown("no other endpoint can serve the request");
         return;
@@ -284,6 +284,11 @@
 void forwarded_request::sendNow()
 {
     const core::time_point now = core::boot_clock::now();
+    mHeld = mContext.sendsHeld;
+    if (mHeld) {
+        mState = state::received;
+        return;
+    }
     engines::endpoint &target = *mContext.endpoints.find(mChoice.endpoint);
     mState = state::sent;
     mSentAt = now;
--- a/corneltally/forwarding/front_service.cpp
+++ b/corneltally/forwarding/front_service.cpp
@@ -44,11 +44,13 @@
                .pauses = {},
                .permits = {},
                .stopAt = {},
-               .regions = mOptions.regions}
+               .regions = mOptions.regions,
+               .sendsHeld = false}
     , mPruneTimer(ioRegistry.loop(), [this] { prune(); })
     , mListener(ioRegistry.loop(), [this](int inSocket) { accept(inSocket); })
     , mBodyBudget(std::make_shared<http1::body_budget>(mOptions.bodyBudgetBytes))
     , mEarlyTimer(ioRegistry.loop(), [this] { beginEarlyRequests(); })
+    , mHoldTimer(ioRegistry.loop(), [this] { releaseSends(false); })
 {
     ioRegistry.handle<catalog::configuration_changed>(
         cName, [this](const catalog::configuration_changed &inChanged) {
@@ -83,6 +85,14 @@
             mContext.endpoints.keepOnly(inListed.ids, inListed.mayReturn, core::boot_clock::now());
             mEndpointsListed = true;
         });
+    ioRegistry.handle<catalog::evacuation_changed>(
+        cName,
+        [this](const catalog::evacuation_changed &inChanged) { evacuationChanged(inChanged); });
+    ioRegistry.handle<catalog::operator_records_confirmed>(
+        cName, [this](const catalog::operator_records_confirmed &inConfirmed) {
+            if (mContext.sendsHeld && inConfirmed.asOf >= mHeldSince)
+                releaseSends(true);
+        });
     ioRegistry.handle<engines::endpoint_noticed>(
         cName, [this](const engines::endpoint_noticed &inNoticed) { endpointNoticed(inNoticed); });
     ioRegistry.handle<orders::held_engine_changed>(
@@ -534,6 +544,8 @@
 {
     mContext.endpoints.forgetReports();
     mContext.allowance.resetAfterPause(core::boot_clock::now());
+    if (mOptions.confirmsEvacuations)
+        holdSends();
 }
 
 std::string front_service::dump() const
@@ -549,6 +561,8 @@
         text.append("\",\"holder\":\"").append(core::jsonEscape(target.holder));
         text.append("\",\"ready\":").append(target.holderReady ? "true" : "false");
         text.append(",\"leaving\":").append(target.entry.leaving ? "true" : "false");
+        text.append(",\"evacuated\":")
+            .append(mContext.endpoints.isEvacuated(target) ? "true" : "false");
         text.append(",\"removed\":").append(target.removed ? "true" : "false");
         text.append(",\"requests\":").append(std::to_string(target.own.requests));
         text.append(",\"resident\":").append(std::to_string(target.adapters.resident.size()));
--- a/tests/unit/forwarding_front_fixture.h
+++ b/tests/unit/forwarding_front_fixture.h
@@ -112,6 +112,7 @@
 struct front_fixture
 {
     core::duration firstMessageTimeout;
+    bool confirmsEvacuations;
     kernel::event_loop loop;
     core::metrics metrics;
     kernel::service_registry registry{loop};
@@ -124,6 +125,7 @@
                                   .listen = {"127.0.0.1", 0},
                                   .settings = {.limitsCold = true},
                                   .retries = {.ratio = 0.2, .slack = 100},
+                                  .confirmsEvacuations = confirmsEvacuations,
                                   .firstMessageTimeout = firstMessageTimeout}))};
     kernel::timer limit{loop, [this] { loop.stop(); }};
     kernel::timer heartbeats{loop, [this] { registry.broadcast(fleet::heartbeat_due{}); }};
@@ -134,8 +136,10 @@
     /// Requests per second that a cold endpoint of the plain service sustains; 0: never cold.
     double coldPerSecond = 0;
 
-    explicit front_fixture(core::duration inFirstMessageTimeout = 400ms)
+    explicit front_fixture(core::duration inFirstMessageTimeout = 400ms,
+                           bool inConfirmsEvacuations = false)
         : firstMessageTimeout(inFirstMessageTimeout)
+        , confirmsEvacuations(inConfirmsEvacuations)
     {
         REQUIRE(front.listen());
         registry.handle<orders::local_load_wanted>(
