--- a/bench/soak_bench.cpp
+++ b/bench/soak_bench.cpp
@@ -66,6 +66,8 @@
         const auto end = steady::now()
             + std::chrono::duration_cast<steady::duration>(
                              std::chrono::duration<double>(mOptions.seconds));
+        // Early enough for its bound to pass in short runs.
+        later(std::chrono::milliseconds(500 + pick(3000)), [this] { evacuate(); });
         while (steady::now() < end) {
             // Those that are under way have ended when the faults do.
             if (end - steady::now() < cCallTime)
@@ -92,6 +94,15 @@
 
     const std::map<std::string, int> &injected() const { return mInjected; }
     const std::map<std::string, double> &withdrawn() const { return mWithdrawn; }
+    const std::vector<corneltally::bench::soak_evacuation> &evacuations() const
+    {
+        return mEvacuations;
+    }
+    const std::map<std::string, std::vector<corneltally::bench::soak_interval>> &
+    storeOutages() const
+    {
+        return mStoreOutages;
+    }
     const std::vector<std::string> &unexpected() const { return mUnexpected; }
     const std::map<std::string, std::vector<double>> &starts() const { return mStarts; }
     /// Targets of callers: all instances at their current addresses.
@@ -157,7 +168,7 @@
         const std::string instance = pickName("edge-");
         const std::string endpoint = pickName(pick(2) == 0 ? "engine-" : "app-");
         const std::chrono::milliseconds length(200 + pick(3500));
-        switch (pick(15)) {
+        switch (pick(16)) {
         case 0:
             stopInstance(
                 instance, "killed", [this, instance] { mFleet.process(instance).kill(); }, length);
@@ -205,7 +216,10 @@
             const std::vector<std::string> modes{"busy", "silent", "reset"};
             note("store away");
             mFleet.setFaults("store", {{"mode", modes[pick(modes.size())]}});
-            later(length, [this] { mFleet.setFaults("store", {{"mode", "none"}}); });
+            later(length, [this, outage = addOutage("")] {
+                mFleet.setFaults("store", {{"mode", "none"}});
+                endOutage("", outage);
+            });
             break;
         }
         case 8:
@@ -218,6 +232,8 @@
             break;
         case 10:
             linkFault({instance + ">store"}, length);
+            later(length,
+                  [this, instance, outage = addOutage(instance)] { endOutage(instance, outage); });
             break;
         case 11:
             changeKey();
@@ -239,6 +255,9 @@
                     mFleet.setFaults(endpoint, {{"pause_ms", 0}});
             });
             break;
+        case 14:
+            evacuate();
+            break;
         default:
             note("version named, reload");
             mFleet.nameVersion("a" + std::to_string(pick(4)), ++mAdapterVersion);
@@ -247,6 +266,39 @@
         }
     }
 
+    /// Evacuates a failure domain for a time that exceeds the bound.
+    void evacuate()
+    {
+        const std::vector<std::string> &domains = mFleet.options().failureDomains;
+        const std::string domain = domains[pick(domains.size())];
+        const std::chrono::milliseconds length(static_cast<int>(cEvacuationBound * 1000) + 500
+                                               + pick(3000));
+        if (!mEvacuated.insert(domain).second)
+            return;
+        note("failure domain evacuated");
+        // With the guard turned off no instance takes the record for one of this failure domain.
+        const std::string written = mOptions.breaks == "evacuation" ? domain + "-no" : domain;
+        mFleet.evacuate(written);
+        const std::size_t index = mEvacuations.size();
+        mEvacuations.push_back({domain, {standins::wallSeconds(), cNever}});
+        later(length, [this, domain, written, index] {
+            mEvacuations[index].time.until = standins::wallSeconds();
+            mFleet.evacuate(written, false);
+            mEvacuated.erase(domain);
+        });
+    }
+
+    std::size_t addOutage(const std::string &inInstance)
+    {
+        mStoreOutages[inInstance].push_back({standins::wallSeconds(), cNever});
+        return mStoreOutages[inInstance].size() - 1;
+    }
+
+    void endOutage(const std::string &inInstance, std::size_t inIndex)
+    {
+        mStoreOutages[inInstance][inIndex].until = standins::wallSeconds();
+    }
+
     void note(const std::string &inFault) { ++mInjected[inFault]; }
 
     void stopInstance(const std::string &inName, const std::string &inFault,
@@ -302,6 +354,8 @@
 public:
     /// The operator's bound of 2 s and that of an unstable store, 5 s.
     static constexpr double cConfigurationBound = 7;
+    /// Bound of evacuations in the settings.
+    static constexpr double cEvacuationBound = 5;
 
 private:
     const soak_options &mOptions;
@@ -316,6 +370,10 @@
     std::map<std::string, std::vector<double>> mStarts;
     /// Endpoints that are to be started again.
     std::set<std::string> mDown;
+    static constexpr double cNever = 1e12;
+    std::set<std::string> mEvacuated;
+    std::vector<corneltally::bench::soak_evacuation> mEvacuations;
+    std::map<std::string, std::vector<corneltally::bench::soak_interval>> mStoreOutages;
     std::uint64_t mAdapterVersion = 1;
     int mKeys = 0;
     bool mKeyChanging = false;
@@ -364,6 +422,16 @@
     return notices;
 }
 
+std::map<std::string, std::string> domainsOf(const site &inFleet)
+{
+    std::map<std::string, std::string> domains;
+    for (const char *prefix : {"engine-", "app-"}) {
+        for (const std::string &name : inFleet.names(prefix))
+            domains[name] = inFleet.domainOf(name);
+    }
+    return domains;
+}
+
 int runSoak(const soak_options &inOptions)
 {
     standins::site_options options{.binaries = inOptions.binaries,
@@ -372,7 +440,9 @@
                                    .engines = static_cast<int>(inOptions.engines),
                                    .applications = static_cast<int>(inOptions.applications),
                                    .proxied = true,
-                                   .oneMachine = inOptions.breaks == "machine"};
+                                   .oneMachine = inOptions.breaks == "machine",
+                                   .evacuateMs
+                                   = static_cast<int>(soak_run::cEvacuationBound * 1000)};
     site fleet(options);
     if (!fleet.start()) {
         std::printf("the fleet did not start, see %s\n", inOptions.folder.c_str());
@@ -396,6 +466,10 @@
                      .notices = noticesOf(fleet),
                      .starts = run.starts(),
                      .orders = fleet.facts("order"),
+                     .evacuations = run.evacuations(),
+                     .domains = domainsOf(fleet),
+                     .storeOutages = run.storeOutages(),
+                     .evacuationBound = soak_run::cEvacuationBound,
                      .overfull = fleet.facts("overfull"),
                      .withdrawn = run.withdrawn(),
                      .configurationBound = soak_run::cConfigurationBound,
@@ -435,7 +509,8 @@
     flags.add("callers", "callers, a thread each", options.callers);
     flags.add("binaries", "folder with the built programs", options.binaries);
     flags.add("folder", "folder of the run", options.folder);
-    flags.add("break", "turns a guard off, to see that it is missed: machine or identity",
+    flags.add("break",
+              "turns a guard off, to see that it is missed: machine, identity or evacuation",
               options.breaks);
     return flags.parse(inCount, inArguments) ? runSoak(options) : 2;
 }
--- a/bench/soak_checks.cpp
+++ b/bench/soak_checks.cpp
@@ -17,6 +17,8 @@
 constexpr int cMaxDeadlyRuns = 6;
 /// One of so many sound calls may be refused in place of one that ends engines.
 constexpr std::size_t cCallsPerMistake = 200;
+/// Status of a refusal by an endpoint that was taken for another one.
+constexpr int cMisdirected = 421;
 /// Resolution of the times in the log of an instance.
 constexpr double cLogResolution = 0.002;
 
@@ -63,6 +65,7 @@
         checkOrders();
         checkDeadly();
         checkNotices();
+        checkEvacuations();
         expect("places for adapters", mFacts.overfull.empty(), "an engine was loaded beyond them");
         return std::move(mVerdict);
     }
@@ -202,6 +205,64 @@
         }
     }
 
+    /// When an evacuation must be in force at an instance. The bound begins anew with the end of
+    /// each outage of the store within it.
+    double inForceAt(const soak_evacuation &inEvacuation, const std::string &inInstance) const
+    {
+        double from = inEvacuation.time.from;
+        for (bool isMoved = true; isMoved;) {
+            isMoved = false;
+            for (const std::string &name : {std::string(), inInstance}) {
+                const auto outages = mFacts.storeOutages.find(name);
+                if (outages == mFacts.storeOutages.end())
+                    continue;
+                for (const soak_interval &outage : outages->second) {
+                    if (outage.from > from + mFacts.evacuationBound || outage.until <= from)
+                        continue;
+                    from = outage.until;
+                    isMoved = true;
+                }
+            }
+        }
+        return from + mFacts.evacuationBound;
+    }
+
+    void checkEvacuations()
+    {
+        for (const soak_evacuation &evacuation : mFacts.evacuations) {
+            const auto isThere = [&](const json &inFact) {
+                const auto domain = mFacts.domains.find(inFact.at("process").get<std::string>());
+                return domain != mFacts.domains.end() && domain->second == evacuation.failureDomain;
+            };
+            const auto isLate = [&](const std::string &inInstance, double inBegun, double inAt) {
+                return inBegun > inForceAt(evacuation, inInstance) && inAt < evacuation.time.until;
+            };
+            long long late = 0;
+            for (const auto *facts : {&mFacts.runs, &mFacts.refused}) {
+                for (const json &fact : *facts) {
+                    const auto call = mCalls.find(fact.at("request").get<std::string>());
+                    // A call that began before may have been sent before, and been held up on the
+                    // way.
+                    if (call != mCalls.end() && isThere(fact)
+                        && fact.value("status", 0) != cMisdirected
+                        && isLate(call->second->instance, call->second->start,
+                                  fact.at("time").get<double>()))
+                        ++late;
+                }
+            }
+            expect("evacuated failure domains", late == 0,
+                   evacuation.failureDomain + " got " + std::to_string(late)
+                       + " requests too late");
+            const auto lateOrders = std::ranges::count_if(mFacts.orders, [&](const json &inOrder) {
+                const double at = inOrder.at("time").get<double>();
+                return isThere(inOrder) && isLate(inOrder.at("holder").get<std::string>(), at, at);
+            });
+            expect("orders in evacuated failure domains", lateOrders == 0,
+                   evacuation.failureDomain + " got " + std::to_string(lateOrders)
+                       + " orders too late");
+        }
+    }
+
     const soak_facts &mFacts;
     std::map<std::string, std::vector<const json *>> mRuns;
     std::map<std::string, const soak_call *> mCalls;
--- a/bench/soak_checks.h
+++ b/bench/soak_checks.h
@@ -24,6 +24,20 @@
     bool leaving = false;
 };
 
+/// A time without something, in seconds since 1970.
+struct soak_interval
+{
+    double from = 0;
+    double until = 0;
+};
+
+/// A failure domain was evacuated: from the store's acknowledgement to the withdrawal.
+struct soak_evacuation
+{
+    std::string failureDomain;
+    soak_interval time;
+};
+
 /// Facts of a soak run: what callers saw, and what endpoints and the store wrote down.
 struct soak_facts
 {
@@ -35,6 +49,13 @@
     /// When instances were started again, in seconds since 1970.
     std::map<std::string, std::vector<double>> starts;
     std::vector<nlohmann::json> orders;
+    std::vector<soak_evacuation> evacuations;
+    /// Failure domains of the endpoints.
+    std::map<std::string, std::string> domains;
+    /// Times in which the store was out of reach, of an instance or with an empty name of all.
+    std::map<std::string, std::vector<soak_interval>> storeOutages;
+    /// Bound of the time in which an evacuation is in force at instances that reach the store.
+    double evacuationBound = 0;
     std::vector<nlohmann::json> overfull;
     /// When a key was withdrawn, in seconds since 1970.
     std::map<std::string, double> withdrawn;
--- a/corneltally/forwarding/instance.cpp
+++ b/corneltally/forwarding/instance.cpp
@@ -185,6 +185,7 @@
                                       .failureDomain = mSettings.failureDomain};
         options.claims.handoverPause = milliseconds(mSettings.holderPauseMs);
         options.controller.adapterLoad = milliseconds(mSettings.adapterLoadMs);
+        options.confirmsEvacuations = mSettings.evacuationMs > 0;
         return options;
     }
 
--- a/corneltally/orders/order_service.cpp
+++ b/corneltally/orders/order_service.cpp
@@ -100,6 +100,11 @@
     mRegistry.handle<catalog::evacuation_changed>(
         cName,
         [this](const catalog::evacuation_changed &inChanged) { evacuationChanged(inChanged); });
+    mRegistry.handle<catalog::operator_records_confirmed>(
+        cName, [this](const catalog::operator_records_confirmed &inConfirmed) {
+            if (mUnconfirmedSince && inConfirmed.asOf >= *mUnconfirmedSince)
+                mUnconfirmedSince.reset();
+        });
     mRegistry.handle<catalog::endpoint_changed>(
         cName,
         [this](const catalog::endpoint_changed &inChanged) { endpointChanged(inChanged.entry); });
@@ -167,6 +172,8 @@
 {
     // The claims from before the pause may be outdated; the next read confirms them.
     mClaims.invalidateRead();
+    if (mOptions.confirmsEvacuations)
+        mUnconfirmedSince = core::boot_clock::now();
     mRegistry.post("catalog", catalog::fleet_topic_poll{});
     for (auto &[engine, state] : mHeld)
         publish(engine, state, core::boot_clock::now());
@@ -592,7 +599,7 @@
 bool order_service::takesOrders(const std::string &inEngine, const held_engine &inHeld,
                                 core::time_point inNow) const
 {
-    if (isEvacuated(inHeld))
+    if (isEvacuated(inHeld) || awaitsConfirmation(inNow))
         return false;
     const engines::endpoint_condition *condition
         = conditionOf(inEngine, inHeld.controller.entry().startedMs);
--- a/corneltally/orders/order_service.h
+++ b/corneltally/orders/order_service.h
@@ -36,6 +36,9 @@
     std::string failureDomain;
     fleet::claim_options claims;
     controller_options controller;
+    /// Whether no order is given after a process pause until the operator records were read again,
+    /// since a failure domain may have been evacuated meanwhile.
+    bool confirmsEvacuations = false;
 };
 
 /// Claims engines, gives orders to the engines that this instance holds, and reports their adapters
@@ -74,6 +77,7 @@
 
     void evacuationChanged(const catalog::evacuation_changed &inChanged);
     bool isEvacuated(const held_engine &inHeld) const;
+    bool awaitsConfirmation(core::time_point inNow) const;
     void declineLoad(const fleet::load_wanted &inWanted, const std::string &inFrom);
     void topicUpdated(const catalog::fleet_topic_updated &inUpdate);
     void endpointChanged(const engines::endpoint_entry &inEntry);
@@ -128,6 +132,8 @@
     std::map<std::string, std::uint64_t> mNamedVersions;
     /// Evacuated failure domains, whose engines get no orders.
     std::set<std::string> mEvacuated;
+    /// When the process was paused, until a later read of the operator records.
+    std::optional<core::time_point> mUnconfirmedSince;
     std::vector<fleet::live_candidate> mLive;
     /// Adapters of the engines that other instances hold, by engine.
     std::map<std::string, engines::residency> mRemoteAdapters;
--- a/tests/unit/orders_evacuation_test.cpp
+++ b/tests/unit/orders_evacuation_test.cpp
@@ -35,6 +35,8 @@
     std::vector<std::string> informed;
     std::vector<fleet::engine_state> states;
 
+    orders::order_service *service = nullptr;
+
     order_fixture()
     {
         engine.answers = [this](const std::string &inRequest) {
@@ -51,7 +53,8 @@
         options.claims.handoverPause = 0ms;
         options.claims.handoverMargin = 0ms;
         options.claims.firstClaimDelay = 50ms;
-        auto &service = registry.add(
+        options.confirmsEvacuations = true;
+        service = &registry.add(
             std::make_unique<orders::order_service>(registry, metrics, std::move(options)));
         registry.handle<catalog::fleet_topic_append>(
             "catalog", [this](const catalog::fleet_topic_append &inAppend) {
@@ -70,7 +73,7 @@
             if (const auto *state = std::get_if<fleet::engine_state>(&inSend.body))
                 states.push_back(*state);
         });
-        service.start();
+        service->start();
         registry.broadcast(catalog::configuration_changed{
             std::make_shared<const routing::routing_table>(routing::configuration{
                 .version = 1,
@@ -153,3 +156,18 @@
     fixture.want("a4");
     CHECK(fixture.runUntil([&] { return fixture.orders > before; }));
 }
+
+// Failure: a holder that was paused when the evacuation began gives orders on what it knew before.
+TEST_CASE("after a process pause a holder gives no orders until it has read the operator's records")
+{
+    order_fixture fixture;
+    REQUIRE(fixture.runUntil([&] { return fixture.isReady(); }));
+    fixture.service->processPaused();
+    const core::time_point paused = core::boot_clock::now();
+    fixture.want("a1");
+    fixture.run(200ms);
+    CHECK(fixture.orders == 0);
+    fixture.registry.broadcast(catalog::operator_records_confirmed{paused});
+    fixture.run(100ms);
+    CHECK(fixture.orders == 1);
+}
--- a/tests/unit/platform_codec_test.cpp
+++ b/tests/unit/platform_codec_test.cpp
@@ -302,3 +302,12 @@
     const auto head = platform::encodeLocalAnswer(503, "id1", 250ms);
     CHECK(http1::findField(head.fields, "Retry-After") == "0.250");
 }
+
+// Failure: other records of the operator, or an empty name, count as evacuations.
+TEST_CASE("a record evacuates the failure domain that its key names")
+{
+    CHECK(platform::decodeEvacuationKey("evacuate/north-1") == "north-1");
+    CHECK(platform::decodeEvacuationKey(platform::evacuationKey("a/b")) == "a/b");
+    for (const char *key : {"evacuate/", "evacuate", "config", "version/evacuate/north", ""})
+        CHECK_FALSE(platform::decodeEvacuationKey(key));
+}
