--- a/corneltally/forwarding/instance.cpp
+++ b/corneltally/forwarding/instance.cpp
@@ -190,6 +190,7 @@
         options.controller.adapterLoad = milliseconds(mSettings.adapterLoadMs);
         options.coldOver = mSettings.coldOver;
         options.coldSlack = mSettings.coldSlack;
+        options.confirmsEvacuations = mSettings.evacuationMs > 0;
         return options;
     }
 
