Give up cold endpoints after two holders did not reply

Cause: a request that is cut off from the holders of many cold endpoints waited 150 ms for each of them in turn, up to seconds before its refusal.

Change: after two such waits, or eight denials, the request considers warm endpoints only. /dump shows which endpoints count as cold.

--- a/corneltally/engines/endpoint_choice.cpp
+++ b/corneltally/engines/endpoint_choice.cpp
@@ -214,7 +214,7 @@
         if (needsModel && !target->holdsModel(inRequest.model))
             continue;
         const bool cold = ioTable.isCold(*target, inNow);
-        if (cold && !endpoint_table::mayAskPermit(*target, inNow))
+        if (cold && (inRequest.avoidsCold || !endpoint_table::mayAskPermit(*target, inNow)))
             continue;
         const endpoint_load load = ioTable.totalLoad(*target);
         candidate entry{.target = target,
--- a/corneltally/engines/endpoint_choice.h
+++ b/corneltally/engines/endpoint_choice.h
@@ -78,6 +78,8 @@
     /// Time until the first event within which the request is served in time.
     core::duration targetTime{};
     std::vector<routing::prompt_part> parts;
+    /// Whether cold endpoints are left out, since permits for them can't be had in time.
+    bool avoidsCold = false;
     /// Endpoints that must not receive the request.
     std::set<std::string> excluded;
 };
--- a/corneltally/forwarding/forwarded_request.h
+++ b/corneltally/forwarding/forwarded_request.h
@@ -144,6 +144,8 @@
     core::time_point mWaitingSince;
     core::time_point mSentAt;
     std::uint64_t mPermitNumber = 0;
+    int mPermitsNotReceived = 0;
+    int mPermitsDenied = 0;
     limits::permit_term mPermitTerm{core::time_point()};
     /// Until when the permit of the current attempt may be used; empty if it needs none.
     std::optional<core::time_point> mPermitEnd;
--- a/corneltally/forwarding/forwarded_request_permit.cpp
+++ b/corneltally/forwarding/forwarded_request_permit.cpp
@@ -18,6 +18,10 @@
 /// No permits are asked of a holder for this long after it did not reply.
 constexpr core::duration cSilentHolderPause = std::chrono::milliseconds(500);
 constexpr core::duration cMinPermitPause = std::chrono::milliseconds(5);
+/// A request gives up cold endpoints after this many holders did not reply, or denied a permit, so
+/// that it is refused soon if no warm endpoint serves it.
+constexpr int cMaxNotReceived = 2;
+constexpr int cMaxDenied = 8;
 
 } // namespace
 
@@ -69,6 +73,7 @@
         mContext.metrics.count("permits_asked_total{outcome=\"denied\"}");
         if (target != nullptr)
             target->permitNotBefore = now + std::max(inReply.retryIn, cMinPermitPause);
+        mWork.avoidsCold = mWork.avoidsCold || ++mPermitsDenied >= cMaxDenied;
         chooseAndSend();
         return;
     }
@@ -92,6 +97,7 @@
 {
     const core::time_point now = core::boot_clock::now();
     forgetPermit();
+    mWork.avoidsCold = mWork.avoidsCold || ++mPermitsNotReceived >= cMaxNotReceived;
     mContext.metrics.count("permits_asked_total{outcome=\"" + std::string(inOutcome) + "\"}");
     if (const engines::endpoint *target = currentTarget()) {
         core::logEvent(
--- a/corneltally/forwarding/front_service.cpp
+++ b/corneltally/forwarding/front_service.cpp
@@ -523,6 +523,8 @@
         text.append("\",\"holder\":\"").append(core::jsonEscape(target.holder));
         text.append("\",\"ready\":").append(target.holderReady ? "true" : "false");
         text.append(",\"leaving\":").append(target.entry.leaving ? "true" : "false");
+        text.append(",\"cold\":")
+            .append(mContext.endpoints.isCold(target, core::boot_clock::now()) ? "true" : "false");
         text.append(",\"removed\":").append(target.removed ? "true" : "false");
         text.append(",\"requests\":").append(std::to_string(target.own.requests));
         text.append(",\"resident\":").append(std::to_string(target.adapters.resident.size()));
--- a/tests/unit/forwarding_permit_test.cpp
+++ b/tests/unit/forwarding_permit_test.cpp
@@ -178,3 +178,20 @@
     CHECK(core::boot_clock::now() - start < 120ms);
     CHECK(fixture.first.requests.empty());
 }
+
+// Failure: a request that is cut off from many holders waits for each of them in turn.
+TEST_CASE("a request is refused after two holders did not reply")
+{
+    cold_fixture fixture;
+    fixture.announce("e3", "shop", fixture.second);
+    for (const std::string number : {"1", "2", "3"})
+        fixture.registry.broadcast(fleet::mesh_received{
+            "holder-" + number, 1,
+            fleet::engine_state{.endpoint = "e" + number, .startedMs = 1, .ready = true}});
+    fixture.settle(20ms);
+    const auto start = core::boot_clock::now();
+    CHECK(fixture.call().status == 503);
+    const core::duration took = core::boot_clock::now() - start;
+    CHECK(took >= 290ms);
+    CHECK(took < 420ms);
+}
