Learn the speed of engines from the intervals between events

Cause: engines of one service differ in speed by a factor of two, but the estimate of the time to the first event took all for equal or slow. Change: the lower quartile of the intervals between events of an answer gives an engine's pace, shared with heartbeats and summaries. With learnsSpeed the prefill estimate is scaled by it. Off unless the settings ask for it.

--- a/corneltally/engines/endpoint_choice.cpp
+++ b/corneltally/engines/endpoint_choice.cpp
@@ -42,16 +42,25 @@
     return std::min(tokens, inRequest.promptTokens);
 }
 
+/// Time that an engine takes for a prefill, relative to the typical one of its service.
+double relativeTime(const endpoint_table &inTable, const endpoint &inEndpoint,
+                    const choice_options &inOptions, core::time_point inNow)
+{
+    return inOptions.learnsSpeed
+        ? inTable.relativeTime(inEndpoint, inNow)
+        : std::clamp(inTable.slowness(inEndpoint), 1.0, inOptions.maxSlowness);
+}
+
 /// Estimated time of the prefill, with that of the prompts ahead.
 double prefillMs(const endpoint_load &inLoad, const work_request &inRequest, double inCachedTokens,
-                 double inSlowness, const choice_options &inOptions)
+                 double inRelativeTime, const choice_options &inOptions)
 {
     const double uncached = inRequest.promptTokens - inCachedTokens;
     const double pairs = uncached * (inRequest.promptTokens - uncached / 2);
     return ((inLoad.promptTokens + uncached) / inOptions.promptTokensPerMs
                 * (1 + inOptions.stepOverhead)
             + pairs / 1e6 * inOptions.prefillMsPerMillionPairs)
-        * std::clamp(inSlowness, 1.0, inOptions.maxSlowness);
+        * inRelativeTime;
 }
 
 /// Estimated wait for a place in the engine's batch and for memory.
@@ -195,7 +204,7 @@
         if (needsModel) {
             entry.prefill = prefillMs(load, inRequest,
                                       cachedTokens(ioTable, *target, inRequest, prefixes, inNow),
-                                      ioTable.slowness(*target), inOptions);
+                                      relativeTime(ioTable, *target, inOptions, inNow), inOptions);
             entry.cost = entry.prefill + placeWaitMs(load, inRequest);
         } else {
             entry.cost = plainCost(*target, load);
--- a/corneltally/engines/endpoint_choice.h
+++ b/corneltally/engines/endpoint_choice.h
@@ -36,6 +36,9 @@
     core::duration concurrentPenalty = std::chrono::milliseconds(60);
     /// Upper bound of the factor by which an engine counts as slower than the typical one.
     double maxSlowness = 3;
+    /// Whether the time of the prefill is scaled by the speed that an engine's answers show, also
+    /// to less than the typical time. Otherwise only slow engines are told apart, by their pauses.
+    bool learnsSpeed = false;
     /// Time to load an adapter from the weight store; engines need 250 ms.
     core::duration adapterLoad = std::chrono::milliseconds(250);
     /// Fraction of that time for a warm adapter; engines need a tenth.
--- a/corneltally/engines/endpoint_table.cpp
+++ b/corneltally/engines/endpoint_table.cpp
@@ -321,6 +321,34 @@
     }
 }
 
+void endpoint_table::recordInterval(endpoint_digest inEndpoint, core::duration inInterval,
+                                    core::time_point inNow)
+{
+    const auto found = mByDigest.find(inEndpoint);
+    if (found != mByDigest.end())
+        found->second->pace.observe(inInterval, inNow);
+}
+
+double endpoint_table::relativeTime(const endpoint &inEndpoint, core::time_point inNow) const
+{
+    const auto typical = mTypicalIntervals.find(inEndpoint.entry.service);
+    return typical == mTypicalIntervals.end()
+        ? 1
+        : inEndpoint.pace.relativeTime(typical->second, inNow);
+}
+
+void endpoint_table::updateTypicalIntervals(core::time_point inNow)
+{
+    std::map<std::string, std::vector<core::duration>, std::less<>> intervals;
+    for (const auto &[id, target] : mEndpoints) {
+        if (const auto interval = target.pace.interval(inNow))
+            intervals[target.entry.service].push_back(*interval);
+    }
+    mTypicalIntervals.clear();
+    for (auto &[service, list] : intervals)
+        mTypicalIntervals[service] = typicalInterval(std::move(list));
+}
+
 endpoint_load endpoint_table::totalLoad(const endpoint &inEndpoint) const
 {
     endpoint_load total = inEndpoint.own;
@@ -365,6 +393,7 @@
     });
     mRecentParts.prune(inNow);
     updateTypicalPauses();
+    updateTypicalIntervals(inNow);
     expirePeerLoads(inNow);
 }
 
--- a/corneltally/engines/endpoint_table.h
+++ b/corneltally/engines/endpoint_table.h
@@ -4,6 +4,7 @@
 #include "corneltally/engines/endpoint_condition.h"
 #include "corneltally/engines/endpoint_entry.h"
 #include "corneltally/engines/endpoint_notice.h"
+#include "corneltally/engines/engine_pace.h"
 #include "corneltally/engines/estimate_correction.h"
 #include "corneltally/engines/recent_parts.h"
 #include "corneltally/scheduling/endpoint_health.h"
@@ -100,6 +101,8 @@
     /// Average over answers of the longest pause between two events while the engine prefilled
     /// another prompt; zero before the first such pause.
     core::duration prefillPause{};
+    /// How fast this start of the engine works.
+    engine_pace pace;
 
     bool holdsModel(std::string_view inModel) const;
     void setAdapters(residency inAdapters);
@@ -171,6 +174,15 @@
     /// another prompt caused them.
     void recordPause(endpoint_digest inEndpoint, core::duration inPause);
 
+    /// Records the typical interval between the events of an answer of the endpoint, as this or
+    /// another instance measured it.
+    void recordInterval(endpoint_digest inEndpoint, core::duration inInterval,
+                        core::time_point inNow);
+
+    /// Time that the engine takes for its work relative to the typical one of its service; 1 if
+    /// unknown.
+    double relativeTime(const endpoint &inEndpoint, core::time_point inNow) const;
+
     /// Correction of the estimated times to the first event, by service.
     /// Shared parts of the prompts that this instance sent; see prefixOn().
     recent_parts &recentParts() { return mRecentParts; }
@@ -229,6 +241,7 @@
     };
 
     void updateTypicalPauses();
+    void updateTypicalIntervals(core::time_point inNow);
     void addPeer(const peer_loads &inPeer);
     void subtractPeer(const peer_loads &inPeer);
 
@@ -244,6 +257,8 @@
     recent_parts mRecentParts;
     /// Median of the engines' prefill pauses, by service.
     std::map<std::string, core::duration, std::less<>> mTypicalPauses;
+    /// Median of the engines' intervals between events, by service.
+    std::map<std::string, core::duration, std::less<>> mTypicalIntervals;
 };
 
 } // namespace corneltally::engines
--- a/corneltally/fleet/fleet_codec.cpp
+++ b/corneltally/fleet/fleet_codec.cpp
@@ -109,6 +109,24 @@
     return loads;
 }
 
+std::vector<wire::AnswerInterval> encodeIntervals(const std::vector<answer_interval> &inIntervals)
+{
+    std::vector<wire::AnswerInterval> list;
+    list.reserve(inIntervals.size());
+    for (const answer_interval &seen : inIntervals)
+        list.emplace_back(seen.endpoint, static_cast<int>(seen.interval.count()));
+    return list;
+}
+
+std::vector<answer_interval> decodeIntervals(const std::vector<wire::AnswerInterval> &inList)
+{
+    std::vector<answer_interval> intervals;
+    intervals.reserve(inList.size());
+    for (const wire::AnswerInterval &seen : inList)
+        intervals.push_back({seen.endpoint(), std::chrono::microseconds(seen.interval_us())});
+    return intervals;
+}
+
 std::vector<wire::AnswerPause> encodePauses(const std::vector<answer_pause> &inPauses)
 {
     std::vector<wire::AnswerPause> list;
@@ -232,6 +250,7 @@
         target.store_failing = inHeartbeat.storeFailing;
         target.quarantine = encodeQuarantine(inHeartbeat.quarantine, now);
         target.leaving.assign(inHeartbeat.leaving.begin(), inHeartbeat.leaving.end());
+        target.intervals = encodeIntervals(inHeartbeat.intervals);
         body.Set(std::move(target));
     }
 
@@ -333,6 +352,7 @@
         target.adapter_uses = inSummary.adapterUses;
         target.adapters_running = inSummary.adaptersRunning;
         target.pauses = encodePauses(inSummary.pauses);
+        target.intervals = encodeIntervals(inSummary.intervals);
         for (const summarized_engine &engine : inSummary.engines) {
             auto entry = std::make_unique<wire::EngineStateT>(encodeState(engine.state, now));
             entry->holder = engine.holder;
@@ -355,7 +375,8 @@
                       .sentAt = core::time_point(core::duration(inBody.sent_at_us)),
                       .storeFailing = inBody.store_failing,
                       .quarantine = decodeQuarantine(inBody.quarantine.get(), inNow),
-                      .leaving = {inBody.leaving.begin(), inBody.leaving.end()}};
+                      .leaving = {inBody.leaving.begin(), inBody.leaving.end()},
+                      .intervals = decodeIntervals(inBody.intervals)};
     for (const auto &use : inBody.account_uses)
         decoded.accountUses.push_back({use->account, use->amount});
     return decoded;
@@ -388,7 +409,8 @@
                            .loads = decodeLoads(inBody.loads),
                            .adapterUses = inBody.adapter_uses,
                            .adaptersRunning = inBody.adapters_running,
-                           .pauses = decodePauses(inBody.pauses)};
+                           .pauses = decodePauses(inBody.pauses),
+                           .intervals = decodeIntervals(inBody.intervals)};
     for (const auto &entry : inBody.heard_domains)
         decoded.heardDomains.push_back({entry->domain, entry->sender, entry->receiver});
     for (const auto &entry : inBody.instances)
--- a/corneltally/fleet/fleet_messages.h
+++ b/corneltally/fleet/fleet_messages.h
@@ -47,6 +47,15 @@
     friend auto operator<=>(const answer_pause &, const answer_pause &) = default;
 };
 
+/// Typical interval between the events of one answer from an endpoint.
+struct answer_interval
+{
+    engines::endpoint_digest endpoint = 0;
+    std::chrono::microseconds interval{};
+
+    friend auto operator<=>(const answer_interval &, const answer_interval &) = default;
+};
+
 /// Sent to each instance of the failure domain several times a second.
 struct heartbeat
 {
@@ -69,6 +78,8 @@
     quarantine::quarantine_state quarantine;
     /// Digests of starts of endpoints whose answers say that they leave.
     std::set<std::uint64_t> leaving;
+    /// Intervals in the answers that the sender received since the last heartbeat.
+    std::vector<answer_interval> intervals;
 
     friend bool operator==(const heartbeat &, const heartbeat &) = default;
 };
@@ -219,6 +230,7 @@
     std::vector<engines::adapter_digest> adapterUses;
     std::vector<engines::adapter_digest> adaptersRunning;
     std::vector<answer_pause> pauses;
+    std::vector<answer_interval> intervals;
     /// Engines whose state changed or was repeated since the sender's last summary.
     std::vector<summarized_engine> engines;
     quarantine::quarantine_state quarantine;
--- a/corneltally/fleet/mesh_messages.h
+++ b/corneltally/fleet/mesh_messages.h
@@ -62,6 +62,7 @@
     std::vector<answer_pause> pauses;
     quarantine::quarantine_state quarantine;
     std::set<std::uint64_t> leaving;
+    std::vector<answer_interval> intervals;
 };
 
 } // namespace corneltally::fleet
--- a/corneltally/fleet/mesh_service.cpp
+++ b/corneltally/fleet/mesh_service.cpp
@@ -500,7 +500,8 @@
                    .adaptersRunning = inPart.adaptersRunning,
                    .pauses = inPart.pauses,
                    .quarantine = inPart.quarantine,
-                   .leaving = inPart.leaving};
+                   .leaving = inPart.leaving,
+                   .intervals = inPart.intervals};
     const core::time_point now = core::boot_clock::now();
     beat.sentAt = now;
     beat.storeFailing = mStoreFailing;
--- a/corneltally/fleet/summary_builder.cpp
+++ b/corneltally/fleet/summary_builder.cpp
@@ -21,6 +21,7 @@
     mAdapterUses.insert(mAdapterUses.end(), inHeartbeat.adapterUses.begin(),
                         inHeartbeat.adapterUses.end());
     mPauses.insert(mPauses.end(), inHeartbeat.pauses.begin(), inHeartbeat.pauses.end());
+    mIntervals.insert(mIntervals.end(), inHeartbeat.intervals.begin(), inHeartbeat.intervals.end());
 }
 
 void summary_builder::engineStateReceived(const std::string &inHolder, const engine_state &inState)
@@ -40,7 +41,8 @@
                            .heardDomains = std::move(inHeardDomains),
                            .hasAllTotals = mPeriods % sFullPeriod == 0,
                            .adapterUses = mAdapterUses,
-                           .pauses = mPauses};
+                           .pauses = mPauses,
+                           .intervals = mIntervals};
     std::set<engines::adapter_digest> running;
     for (const auto &[name, state] : mInstances) {
         summarized_instance entry{state.description.instance, state.description.machine,
@@ -71,6 +73,7 @@
     ++mPeriods;
     mAdapterUses.clear();
     mPauses.clear();
+    mIntervals.clear();
     mEngines.clear();
 }
 
--- a/corneltally/fleet/summary_builder.h
+++ b/corneltally/fleet/summary_builder.h
@@ -61,6 +61,7 @@
     std::map<std::string, instance_state> mInstances;
     std::vector<engines::adapter_digest> mAdapterUses;
     std::vector<answer_pause> mPauses;
+    std::vector<answer_interval> mIntervals;
     std::map<std::string, summarized_engine> mEngines;
     std::uint64_t mPeriods = 0;
 };
--- a/corneltally/forwarding/forward_context.h
+++ b/corneltally/forwarding/forward_context.h
@@ -82,6 +82,8 @@
     std::vector<engines::adapter_digest> adapterUses;
     /// Longest pause of each answer that ended since the last heartbeat.
     std::vector<fleet::answer_pause> pauses;
+    /// Typical interval between the events of each such answer.
+    std::vector<fleet::answer_interval> intervals;
     /// When the requests of this instance are ended; set while it is stopping.
     std::optional<core::time_point> stopAt;
 };
--- a/corneltally/forwarding/forwarded_request.cpp
+++ b/corneltally/forwarding/forwarded_request.cpp
@@ -353,8 +353,10 @@
 void forwarded_request::eventsReceived()
 {
     const core::time_point now = core::boot_clock::now();
-    if (mFirstByteAt)
+    if (mFirstByteAt) {
         mLongestPause = std::max(mLongestPause, now - mLastByteAt);
+        mIntervals.add(now - mLastByteAt);
+    }
     mLastByteAt = now;
     firstEventReceived();
     if (!mPartsProved && now - *mFirstByteAt >= cPartProofTime)
--- a/corneltally/forwarding/forwarded_request.h
+++ b/corneltally/forwarding/forwarded_request.h
@@ -2,6 +2,7 @@
 
 #include "corneltally/core/boot_clock.h"
 #include "corneltally/engines/endpoint_choice.h"
+#include "corneltally/engines/event_intervals.h"
 #include "corneltally/forwarding/attempt_rules.h"
 #include "corneltally/forwarding/event_splitter.h"
 #include "corneltally/http1/client_connection.h"
@@ -101,6 +102,7 @@
     void countLoad();
     void uncountLoad();
     void recordPause(const engines::endpoint &inTarget);
+    void recordInterval(const engines::endpoint &inTarget);
     void eventsReceived();
     void firstEventReceived();
     void compareEstimate();
@@ -136,6 +138,7 @@
     std::optional<core::time_point> mFirstByteAt;
     core::time_point mLastByteAt;
     core::duration mLongestPause{};
+    engines::event_intervals mIntervals;
     std::unique_ptr<http1::client_connection> mUpstream;
     http1::response_head mHead;
     std::string mBody;
--- a/corneltally/forwarding/forwarded_request_answer.cpp
+++ b/corneltally/forwarding/forwarded_request_answer.cpp
@@ -144,6 +144,7 @@
     if (engines::endpoint *target = currentTarget()) {
         target->health.succeeded(*mFirstByteAt - mSentAt, now);
         recordPause(*target);
+        recordInterval(*target);
     }
     partsProved();
     uncountLoad();
@@ -172,6 +173,17 @@
         {inTarget.digest, std::chrono::duration_cast<milliseconds>(mLongestPause)});
 }
 
+/// Records how fast the endpoint generated the answer, here and for the next heartbeat.
+void forwarded_request::recordInterval(const engines::endpoint &inTarget)
+{
+    const auto interval = mIntervals.lowerQuartile();
+    if (mSendCount > 1 || !mService->engine || !interval)
+        return;
+    mContext.endpoints.recordInterval(inTarget.digest, *interval, core::boot_clock::now());
+    mContext.intervals.push_back(
+        {inTarget.digest, std::chrono::duration_cast<std::chrono::microseconds>(*interval)});
+}
+
 /// Forwards the failure that an endpoint answered.
 void forwarded_request::passFailure()
 {
@@ -272,30 +284,32 @@
     if (mFirstByteAt)
         mContext.metrics.observe("first_byte_seconds", *mFirstByteAt - mRequest.arrived);
     const engines::endpoint *target = mContext.endpoints.find(mChoice.endpoint);
-    core::logEvent(core::log_level::info, "request",
-                   {{"request", mTerms.requestId},
-                    {"route", mRoute != nullptr ? mRoute->name : std::string()},
-                    {"account", mAccount},
-                    {"configuration", mTable ? mTable->version() : 0},
-                    {"endpoint", mChoice.endpoint},
-                    {"adapter", mWork.adapter},
-                    {"parts", engines::sharedPartIds(mWork)},
-                    {"sends", mSendCount},
-                    {"loads", mLoadsRequested},
-                    {"status", inStatus},
-                    {"outcome", inOutcome},
-                    {"reason", inReason},
-                    {"run", toString(mRunState)},
-                    {"estimate_ms", inMs(mChoice.estimate)},
-                    {"report_age_ms",
-                     target != nullptr && target->holderReportAt != core::time_point()
-                         ? inMs(now - target->holderReportAt)
-                         : -1},
-                    {"sent_ms", mSendCount > 0 ? inMs(mSentAt - mRequest.arrived) : -1},
-                    {"adapter_state", toString(mChoice.state)},
-                    {"longest_pause_ms", inMs(mLongestPause)},
-                    {"first_ms", mFirstByteAt ? inMs(*mFirstByteAt - mRequest.arrived) : -1},
-                    {"ms", inMs(now - mRequest.arrived)}});
+    core::logEvent(
+        core::log_level::info, "request",
+        {{"request", mTerms.requestId},
+         {"route", mRoute != nullptr ? mRoute->name : std::string()},
+         {"account", mAccount},
+         {"configuration", mTable ? mTable->version() : 0},
+         {"endpoint", mChoice.endpoint},
+         {"adapter", mWork.adapter},
+         {"parts", engines::sharedPartIds(mWork)},
+         {"sends", mSendCount},
+         {"loads", mLoadsRequested},
+         {"status", inStatus},
+         {"outcome", inOutcome},
+         {"reason", inReason},
+         {"run", toString(mRunState)},
+         {"estimate_ms", inMs(mChoice.estimate)},
+         {"report_age_ms",
+          target != nullptr && target->holderReportAt != core::time_point()
+              ? inMs(now - target->holderReportAt)
+              : -1},
+         {"sent_ms", mSendCount > 0 ? inMs(mSentAt - mRequest.arrived) : -1},
+         {"adapter_state", toString(mChoice.state)},
+         {"longest_pause_ms", inMs(mLongestPause)},
+         {"relative_time", target != nullptr ? mContext.endpoints.relativeTime(*target, now) : 1},
+         {"first_ms", mFirstByteAt ? inMs(*mFirstByteAt - mRequest.arrived) : -1},
+         {"ms", inMs(now - mRequest.arrived)}});
     const auto done = mDone;
     done();
 }
--- a/corneltally/forwarding/front_service.cpp
+++ b/corneltally/forwarding/front_service.cpp
@@ -339,6 +339,8 @@
             {beat->adaptersRunning.begin(), beat->adaptersRunning.end()}, now);
         for (const fleet::answer_pause &seen : beat->pauses)
             mContext.endpoints.recordPause(seen.endpoint, seen.pause);
+        for (const fleet::answer_interval &seen : beat->intervals)
+            mContext.endpoints.recordInterval(seen.endpoint, seen.interval, now);
         mContext.allowance.applyPeerTotals(inReceived.instance, inReceived.incarnation,
                                            beat->accountUses, true, now);
         quarantineReported(beat->quarantine);
@@ -355,6 +357,8 @@
         {inSummary.adaptersRunning.begin(), inSummary.adaptersRunning.end()}, now);
     for (const fleet::answer_pause &seen : inSummary.pauses)
         mContext.endpoints.recordPause(seen.endpoint, seen.pause);
+    for (const fleet::answer_interval &seen : inSummary.intervals)
+        mContext.endpoints.recordInterval(seen.endpoint, seen.interval, now);
     for (const fleet::summarized_instance &instance : inSummary.instances) {
         if (instance.instance != mOptions.instance)
             mContext.allowance.applyPeerTotals(instance.instance, instance.incarnation,
@@ -424,6 +428,7 @@
     }
     part.adapterUses = std::exchange(mContext.adapterUses, {});
     part.pauses = std::exchange(mContext.pauses, {});
+    part.intervals = std::exchange(mContext.intervals, {});
     updateQuarantine();
     part.quarantine = mContext.quarantine.report();
     mContext.registry.post("orders",
--- a/schemas/fleet_generated.h
+++ b/schemas/fleet_generated.h
@@ -28,6 +28,8 @@
 
 struct AnswerPause;
 
+struct AnswerInterval;
+
 struct LostPart;
 
 struct EndpointLoss;
@@ -503,6 +505,39 @@
   using type = AnswerPause;
 };
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) AnswerInterval FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t endpoint_;
+  int32_t interval_us_;
+  int32_t padding0__;
+
+ public:
+  struct Traits;
+  AnswerInterval()
+      : endpoint_(0),
+        interval_us_(0),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  AnswerInterval(uint64_t _endpoint, int32_t _interval_us)
+      : endpoint_(flatbuffers::EndianScalar(_endpoint)),
+        interval_us_(flatbuffers::EndianScalar(_interval_us)),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  uint64_t endpoint() const {
+    return flatbuffers::EndianScalar(endpoint_);
+  }
+  int32_t interval_us() const {
+    return flatbuffers::EndianScalar(interval_us_);
+  }
+};
+FLATBUFFERS_STRUCT_END(AnswerInterval, 16);
+
+struct AnswerInterval::Traits {
+  using type = AnswerInterval;
+};
+
 FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) LostPart FLATBUFFERS_FINAL_CLASS {
  private:
   uint64_t part_;
@@ -1102,6 +1137,7 @@
   bool store_failing = false;
   std::unique_ptr<corneltally::fleet_wire::QuarantineStateT> quarantine{};
   std::vector<uint64_t> leaving{};
+  std::vector<corneltally::fleet_wire::AnswerInterval> intervals{};
   HeartbeatT() = default;
   HeartbeatT(const HeartbeatT &o);
   HeartbeatT(HeartbeatT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1124,7 +1160,8 @@
     VT_SENT_AT_US = 20,
     VT_STORE_FAILING = 22,
     VT_QUARANTINE = 24,
-    VT_LEAVING = 26
+    VT_LEAVING = 26,
+    VT_INTERVALS = 28
   };
   uint64_t operator_end() const {
     return GetField<uint64_t>(VT_OPERATOR_END, 0);
@@ -1162,6 +1199,9 @@
   const flatbuffers::Vector<uint64_t> *leaving() const {
     return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_LEAVING);
   }
+  const flatbuffers::Vector<const corneltally::fleet_wire::AnswerInterval *> *intervals() const {
+    return GetPointer<const flatbuffers::Vector<const corneltally::fleet_wire::AnswerInterval *> *>(VT_INTERVALS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_OPERATOR_END, 8) &&
@@ -1184,6 +1224,8 @@
            verifier.VerifyTable(quarantine()) &&
            VerifyOffset(verifier, VT_LEAVING) &&
            verifier.VerifyVector(leaving()) &&
+           VerifyOffset(verifier, VT_INTERVALS) &&
+           verifier.VerifyVector(intervals()) &&
            verifier.EndTable();
   }
   HeartbeatT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1231,6 +1273,9 @@
   void add_leaving(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> leaving) {
     fbb_.AddOffset(Heartbeat::VT_LEAVING, leaving);
   }
+  void add_intervals(flatbuffers::Offset<flatbuffers::Vector<const corneltally::fleet_wire::AnswerInterval *>> intervals) {
+    fbb_.AddOffset(Heartbeat::VT_INTERVALS, intervals);
+  }
   explicit HeartbeatBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1255,10 +1300,12 @@
     int64_t sent_at_us = 0,
     bool store_failing = false,
     flatbuffers::Offset<corneltally::fleet_wire::QuarantineState> quarantine = 0,
-    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> leaving = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> leaving = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const corneltally::fleet_wire::AnswerInterval *>> intervals = 0) {
   HeartbeatBuilder builder_(_fbb);
   builder_.add_sent_at_us(sent_at_us);
   builder_.add_operator_end(operator_end);
+  builder_.add_intervals(intervals);
   builder_.add_leaving(leaving);
   builder_.add_quarantine(quarantine);
   builder_.add_pauses(pauses);
@@ -1290,13 +1337,15 @@
     int64_t sent_at_us = 0,
     bool store_failing = false,
     flatbuffers::Offset<corneltally::fleet_wire::QuarantineState> quarantine = 0,
-    const std::vector<uint64_t> *leaving = nullptr) {
+    const std::vector<uint64_t> *leaving = nullptr,
+    const std::vector<corneltally::fleet_wire::AnswerInterval> *intervals = nullptr) {
   auto account_uses__ = account_uses ? _fbb.CreateVector<flatbuffers::Offset<corneltally::fleet_wire::AccountUse>>(*account_uses) : 0;
   auto loads__ = loads ? _fbb.CreateVectorOfStructs<corneltally::fleet_wire::EndpointLoad>(*loads) : 0;
   auto adapter_uses__ = adapter_uses ? _fbb.CreateVector<uint64_t>(*adapter_uses) : 0;
   auto adapters_running__ = adapters_running ? _fbb.CreateVector<uint64_t>(*adapters_running) : 0;
   auto pauses__ = pauses ? _fbb.CreateVectorOfStructs<corneltally::fleet_wire::AnswerPause>(*pauses) : 0;
   auto leaving__ = leaving ? _fbb.CreateVector<uint64_t>(*leaving) : 0;
+  auto intervals__ = intervals ? _fbb.CreateVectorOfStructs<corneltally::fleet_wire::AnswerInterval>(*intervals) : 0;
   return corneltally::fleet_wire::CreateHeartbeat(
       _fbb,
       operator_end,
@@ -1310,7 +1359,8 @@
       sent_at_us,
       store_failing,
       quarantine,
-      leaving__);
+      leaving__,
+      intervals__);
 }
 
 flatbuffers::Offset<Heartbeat> CreateHeartbeat(flatbuffers::FlatBufferBuilder &_fbb, const HeartbeatT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -2180,6 +2230,7 @@
   std::vector<corneltally::fleet_wire::AnswerPause> pauses{};
   std::vector<std::unique_ptr<corneltally::fleet_wire::EngineStateT>> engine_states{};
   std::unique_ptr<corneltally::fleet_wire::QuarantineStateT> quarantine{};
+  std::vector<corneltally::fleet_wire::AnswerInterval> intervals{};
   DomainSummaryT() = default;
   DomainSummaryT(const DomainSummaryT &o);
   DomainSummaryT(DomainSummaryT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -2206,7 +2257,8 @@
     VT_ADAPTERS_RUNNING = 28,
     VT_PAUSES = 30,
     VT_ENGINE_STATES = 32,
-    VT_QUARANTINE = 34
+    VT_QUARANTINE = 34,
+    VT_INTERVALS = 36
   };
   const flatbuffers::String *domain() const {
     return GetPointer<const flatbuffers::String *>(VT_DOMAIN);
@@ -2256,6 +2308,9 @@
   const corneltally::fleet_wire::QuarantineState *quarantine() const {
     return GetPointer<const corneltally::fleet_wire::QuarantineState *>(VT_QUARANTINE);
   }
+  const flatbuffers::Vector<const corneltally::fleet_wire::AnswerInterval *> *intervals() const {
+    return GetPointer<const flatbuffers::Vector<const corneltally::fleet_wire::AnswerInterval *> *>(VT_INTERVALS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_DOMAIN) &&
@@ -2290,6 +2345,8 @@
            verifier.VerifyVectorOfTables(engine_states()) &&
            VerifyOffset(verifier, VT_QUARANTINE) &&
            verifier.VerifyTable(quarantine()) &&
+           VerifyOffset(verifier, VT_INTERVALS) &&
+           verifier.VerifyVector(intervals()) &&
            verifier.EndTable();
   }
   DomainSummaryT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2349,6 +2406,9 @@
   void add_quarantine(flatbuffers::Offset<corneltally::fleet_wire::QuarantineState> quarantine) {
     fbb_.AddOffset(DomainSummary::VT_QUARANTINE, quarantine);
   }
+  void add_intervals(flatbuffers::Offset<flatbuffers::Vector<const corneltally::fleet_wire::AnswerInterval *>> intervals) {
+    fbb_.AddOffset(DomainSummary::VT_INTERVALS, intervals);
+  }
   explicit DomainSummaryBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2379,11 +2439,13 @@
     flatbuffers::Offset<flatbuffers::Vector<uint64_t>> adapters_running = 0,
     flatbuffers::Offset<flatbuffers::Vector<const corneltally::fleet_wire::AnswerPause *>> pauses = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<corneltally::fleet_wire::EngineState>>> engine_states = 0,
-    flatbuffers::Offset<corneltally::fleet_wire::QuarantineState> quarantine = 0) {
+    flatbuffers::Offset<corneltally::fleet_wire::QuarantineState> quarantine = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const corneltally::fleet_wire::AnswerInterval *>> intervals = 0) {
   DomainSummaryBuilder builder_(_fbb);
   builder_.add_operator_end(operator_end);
   builder_.add_sequence(sequence);
   builder_.add_incarnation(incarnation);
+  builder_.add_intervals(intervals);
   builder_.add_quarantine(quarantine);
   builder_.add_engine_states(engine_states);
   builder_.add_pauses(pauses);
@@ -2422,7 +2484,8 @@
     const std::vector<uint64_t> *adapters_running = nullptr,
     const std::vector<corneltally::fleet_wire::AnswerPause> *pauses = nullptr,
     const std::vector<flatbuffers::Offset<corneltally::fleet_wire::EngineState>> *engine_states = nullptr,
-    flatbuffers::Offset<corneltally::fleet_wire::QuarantineState> quarantine = 0) {
+    flatbuffers::Offset<corneltally::fleet_wire::QuarantineState> quarantine = 0,
+    const std::vector<corneltally::fleet_wire::AnswerInterval> *intervals = nullptr) {
   auto domain__ = domain ? _fbb.CreateString(domain) : 0;
   auto sender__ = sender ? _fbb.CreateString(sender) : 0;
   auto heard_domains__ = heard_domains ? _fbb.CreateVector<flatbuffers::Offset<corneltally::fleet_wire::HeardDomain>>(*heard_domains) : 0;
@@ -2434,6 +2497,7 @@
   auto adapters_running__ = adapters_running ? _fbb.CreateVector<uint64_t>(*adapters_running) : 0;
   auto pauses__ = pauses ? _fbb.CreateVectorOfStructs<corneltally::fleet_wire::AnswerPause>(*pauses) : 0;
   auto engine_states__ = engine_states ? _fbb.CreateVector<flatbuffers::Offset<corneltally::fleet_wire::EngineState>>(*engine_states) : 0;
+  auto intervals__ = intervals ? _fbb.CreateVectorOfStructs<corneltally::fleet_wire::AnswerInterval>(*intervals) : 0;
   return corneltally::fleet_wire::CreateDomainSummary(
       _fbb,
       domain__,
@@ -2451,7 +2515,8 @@
       adapters_running__,
       pauses__,
       engine_states__,
-      quarantine);
+      quarantine,
+      intervals__);
 }
 
 flatbuffers::Offset<DomainSummary> CreateDomainSummary(flatbuffers::FlatBufferBuilder &_fbb, const DomainSummaryT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -3342,7 +3407,8 @@
         sent_at_us(o.sent_at_us),
         store_failing(o.store_failing),
         quarantine((o.quarantine) ? new corneltally::fleet_wire::QuarantineStateT(*o.quarantine) : nullptr),
-        leaving(o.leaving) {
+        leaving(o.leaving),
+        intervals(o.intervals) {
   account_uses.reserve(o.account_uses.size());
   for (const auto &account_uses_ : o.account_uses) { account_uses.emplace_back((account_uses_) ? new corneltally::fleet_wire::AccountUseT(*account_uses_) : nullptr); }
 }
@@ -3360,6 +3426,7 @@
   std::swap(store_failing, o.store_failing);
   std::swap(quarantine, o.quarantine);
   std::swap(leaving, o.leaving);
+  std::swap(intervals, o.intervals);
   return *this;
 }
 
@@ -3384,6 +3451,7 @@
   { auto _e = store_failing(); _o->store_failing = _e; }
   { auto _e = quarantine(); if (_e) _o->quarantine = std::unique_ptr<corneltally::fleet_wire::QuarantineStateT>(_e->UnPack(_resolver)); }
   { auto _e = leaving(); if (_e) { _o->leaving.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->leaving[_i] = _e->Get(_i); } } }
+  { auto _e = intervals(); if (_e) { _o->intervals.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->intervals[_i] = *_e->Get(_i); } } }
 }
 
 inline flatbuffers::Offset<Heartbeat> Heartbeat::Pack(flatbuffers::FlatBufferBuilder &_fbb, const HeartbeatT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -3406,6 +3474,7 @@
   auto _store_failing = _o->store_failing;
   auto _quarantine = _o->quarantine ? CreateQuarantineState(_fbb, _o->quarantine.get(), _rehasher) : 0;
   auto _leaving = _o->leaving.size() ? _fbb.CreateVector(_o->leaving) : 0;
+  auto _intervals = _o->intervals.size() ? _fbb.CreateVectorOfStructs(_o->intervals) : 0;
   return corneltally::fleet_wire::CreateHeartbeat(
       _fbb,
       _operator_end,
@@ -3419,7 +3488,8 @@
       _sent_at_us,
       _store_failing,
       _quarantine,
-      _leaving);
+      _leaving,
+      _intervals);
 }
 
 inline LoadWantedT *LoadWanted::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -3717,7 +3787,8 @@
         adapter_uses(o.adapter_uses),
         adapters_running(o.adapters_running),
         pauses(o.pauses),
-        quarantine((o.quarantine) ? new corneltally::fleet_wire::QuarantineStateT(*o.quarantine) : nullptr) {
+        quarantine((o.quarantine) ? new corneltally::fleet_wire::QuarantineStateT(*o.quarantine) : nullptr),
+        intervals(o.intervals) {
   heard_domains.reserve(o.heard_domains.size());
   for (const auto &heard_domains_ : o.heard_domains) { heard_domains.emplace_back((heard_domains_) ? new corneltally::fleet_wire::HeardDomainT(*heard_domains_) : nullptr); }
   instances.reserve(o.instances.size());
@@ -3743,6 +3814,7 @@
   std::swap(pauses, o.pauses);
   std::swap(engine_states, o.engine_states);
   std::swap(quarantine, o.quarantine);
+  std::swap(intervals, o.intervals);
   return *this;
 }
 
@@ -3771,6 +3843,7 @@
   { auto _e = pauses(); if (_e) { _o->pauses.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->pauses[_i] = *_e->Get(_i); } } }
   { auto _e = engine_states(); if (_e) { _o->engine_states.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->engine_states[_i] = std::unique_ptr<corneltally::fleet_wire::EngineStateT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = quarantine(); if (_e) _o->quarantine = std::unique_ptr<corneltally::fleet_wire::QuarantineStateT>(_e->UnPack(_resolver)); }
+  { auto _e = intervals(); if (_e) { _o->intervals.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->intervals[_i] = *_e->Get(_i); } } }
 }
 
 inline flatbuffers::Offset<DomainSummary> DomainSummary::Pack(flatbuffers::FlatBufferBuilder &_fbb, const DomainSummaryT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -3797,6 +3870,7 @@
   auto _pauses = _o->pauses.size() ? _fbb.CreateVectorOfStructs(_o->pauses) : 0;
   auto _engine_states = _o->engine_states.size() ? _fbb.CreateVector<flatbuffers::Offset<corneltally::fleet_wire::EngineState>> (_o->engine_states.size(), [](size_t i, _VectorArgs *__va) { return CreateEngineState(*__va->__fbb, __va->__o->engine_states[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _quarantine = _o->quarantine ? CreateQuarantineState(_fbb, _o->quarantine.get(), _rehasher) : 0;
+  auto _intervals = _o->intervals.size() ? _fbb.CreateVectorOfStructs(_o->intervals) : 0;
   return corneltally::fleet_wire::CreateDomainSummary(
       _fbb,
       _domain,
@@ -3814,7 +3888,8 @@
       _adapters_running,
       _pauses,
       _engine_states,
-      _quarantine);
+      _quarantine,
+      _intervals);
 }
 
 inline OperatorRecordT *OperatorRecord::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/tests/unit/engines_endpoint_choice_test.cpp
+++ b/tests/unit/engines_endpoint_choice_test.cpp
@@ -326,3 +326,33 @@
     REQUIRE(choice);
     CHECK(choice->estimate < 100ms);
 }
+
+// Load: prompts at a service whose engines differ in speed by a factor of two. Without the learned
+// speed all engines count as equal, and the prompt waits behind the backlog of a slow one.
+TEST_CASE("a prompt goes to the engine that will have read it first")
+{
+    three_engines fleet;
+    for (const std::string id : {"e1", "e2", "e3"})
+        fleet.report(id, {.resident = {{"base/a1", 1}}});
+    for (int answer = 0; answer < 8; ++answer) {
+        fleet.endpoints.recordInterval(engines::digestOf("e1"), 50ms, cStart);
+        fleet.endpoints.recordInterval(engines::digestOf("e2"), 25ms, cStart);
+        fleet.endpoints.recordInterval(engines::digestOf("e3"), 50ms, cStart);
+    }
+    fleet.endpoints.prune(cStart);
+    fleet.endpoints.find("e2")->own.promptTokens = 6000;
+    fleet.endpoints.find("e3")->own.promptTokens = 6000;
+    fleet.endpoints.find("e1")->own.promptTokens = 4000;
+    const engines::choice_options learned{.learnsSpeed = true};
+    const auto choose = [&](const engines::choice_options &inOptions) {
+        return *engines::chooseEndpoint(fleet.endpoints, adapterRequest(10'000), "north", inOptions,
+                                        cStart);
+    };
+    CHECK(choose({}).endpoint == "e1");
+    CHECK(choose(learned).endpoint == "e2");
+    CHECK(choose(learned).estimate < choose({}).estimate);
+
+    // Nothing is known of a restarted engine, which counts as typical.
+    fleet.endpoints.apply(engineEntry("e2", 2), cStart);
+    CHECK(fleet.endpoints.relativeTime(*fleet.endpoints.find("e2"), cStart) == 1);
+}
--- a/tests/unit/fleet_codec_test.cpp
+++ b/tests/unit/fleet_codec_test.cpp
@@ -40,7 +40,8 @@
                                     .sentAt = cNow - 3s,
                                     .storeFailing = true,
                                     .quarantine = cQuarantine,
-                                    .leaving = {engines::startDigest("e1", 5)}});
+                                    .leaving = {engines::startDigest("e1", 5)},
+                                    .intervals = {{engines::digestOf("e1"), 24'500us}}});
     checkRoundTrip(fleet::operator_end{12});
     checkRoundTrip(fleet::fleet_records{
         {{"engine/e1", "{}", 4}, {"instance/a", std::nullopt, 6}}, 3, 7, true, cNow - 1s, 8});
@@ -58,6 +59,7 @@
         .adapterUses = {engines::digestOf("e1", "base/a1")},
         .adaptersRunning = {engines::digestOf("e1", "base/a2")},
         .pauses = {{engines::digestOf("e1"), 420ms}},
+        .intervals = {{engines::digestOf("e1"), 24'500us}},
         .engines = {{"b", {"e1", 5, true, {{{"base/a1", 1}}, {{"base/a2", {3, cNow + 250ms}}}}}}},
         .quarantine = cQuarantine});
     checkRoundTrip(fleet::load_wanted{"e1", 5, "base", "a1", 2, 900});
