Weigh the pauses of an engine by the prompts that wait there

Cause: with learned speeds, an engine that pauses for longer than a route allows while it prefills was avoided by long answers also when no prompt waited there. Change: with learnsSpeed the penalty of long answers follows the prompt tokens that wait at the engine.

--- a/corneltally/engines/endpoint_choice.cpp
+++ b/corneltally/engines/endpoint_choice.cpp
@@ -90,7 +90,11 @@
     const double exposure
         = std::min(1.0, tokens * inMs(inOptions.answerToken) / inMs(inOptions.pauseExposure));
     const double delaying = std::min(1.0, inRequest.promptTokens / inOptions.pausingPromptTokens);
-    return inMs(inOptions.pausePenalty) * exposure
+    const double overlap = inOptions.learnsSpeed
+        ? std::clamp(inLoad.promptTokens / inOptions.overlappingPromptTokens, inOptions.minOverlap,
+                     1.0)
+        : 1;
+    return inMs(inOptions.pausePenalty) * exposure * overlap
         + inMs(inOptions.concurrentPenalty) * delaying * inLoad.requests;
 }
 
--- a/corneltally/engines/endpoint_choice.h
+++ b/corneltally/engines/endpoint_choice.h
@@ -39,6 +39,11 @@
     /// Whether the time of the prefill is scaled by the speed that an engine's answers show, also
     /// to less than the typical time. Otherwise only slow engines are told apart, by their pauses.
     bool learnsSpeed = false;
+    /// With learned speeds, prompt tokens waiting at an engine from which their prefill certainly
+    /// overlaps with a long answer. With fewer, pauses are as much less likely, but not below the
+    /// minimum, since further prompts arrive while the answer runs.
+    double overlappingPromptTokens = 4'096;
+    double minOverlap = 0.2;
     /// Time to load an adapter from the weight store; engines need 250 ms.
     core::duration adapterLoad = std::chrono::milliseconds(250);
     /// Fraction of that time for a warm adapter; engines need a tenth.
--- a/tests/unit/engines_endpoint_choice_test.cpp
+++ b/tests/unit/engines_endpoint_choice_test.cpp
@@ -356,3 +356,27 @@
     fleet.endpoints.apply(engineEntry("e2", 2), cStart);
     CHECK(fleet.endpoints.relativeTime(*fleet.endpoints.find("e2"), cStart) == 1);
 }
+
+// Load: chats beside long prompts, at a service most of whose engines pause for longer than the
+// chats allow while they prefill. Avoiding these engines altogether leaves their room unused.
+TEST_CASE("a long answer avoids a pausing engine for the prompts that wait there")
+{
+    three_engines fleet;
+    for (const std::string id : {"e1", "e2"}) {
+        fleet.report(id, {.resident = {{"base/a1", 1}}});
+        fleet.endpoints.recordPause(engines::digestOf(id), id == "e1" ? 450ms : 210ms);
+    }
+    engines::work_request chat = adapterRequest(800);
+    chat.answerTokens = 300;
+    chat.targetPause = 300ms;
+    // The engine without long pauses has a backlog of 250 ms.
+    fleet.endpoints.find("e2")->own.promptTokens = 9'000;
+    const auto choose = [&](const engines::choice_options &inOptions) {
+        return engines::chooseEndpoint(fleet.endpoints, chat, "north", inOptions, cStart)->endpoint;
+    };
+    const engines::choice_options learned{.learnsSpeed = true};
+    CHECK(choose({}) == "e2");
+    CHECK(choose(learned) == "e1");
+    fleet.endpoints.find("e1")->own.promptTokens = 4'000;
+    CHECK(choose(learned) == "e2");
+}
