--- a/corneltally/engines/endpoint_table.h
+++ b/corneltally/engines/endpoint_table.h
@@ -6,6 +6,7 @@
 #include "corneltally/engines/endpoint_condition.h"
 #include "corneltally/engines/endpoint_entry.h"
 #include "corneltally/engines/endpoint_notice.h"
+#include "corneltally/engines/engine_pace.h"
 #include "corneltally/engines/estimate_correction.h"
 #include "corneltally/engines/recent_parts.h"
 #include "corneltally/routing/allowed_domains.h"
@@ -114,6 +115,8 @@
     core::time_point permitNotBefore;
     /// Whether the log says that the endpoint is cold.
     bool coldReported = false;
+    /// How fast this start of the engine works.
+    engine_pace pace;
 
     bool holdsModel(std::string_view inModel) const;
     void setAdapters(residency inAdapters);
@@ -185,6 +188,15 @@
     /// another prompt caused them.
     void recordPause(endpoint_digest inEndpoint, core::duration inPause);
 
+    /// Records the typical interval between the events of an answer of the endpoint, as this or
+    /// another instance measured it.
+    void recordInterval(endpoint_digest inEndpoint, core::duration inInterval,
+                        core::time_point inNow);
+
+    /// Time that the engine takes for its work relative to the typical one of its service; 1 if
+    /// unknown.
+    double relativeTime(const endpoint &inEndpoint, core::time_point inNow) const;
+
     /// Correction of the estimated times to the first event, by service.
     /// Shared parts of the prompts that this instance sent; see prefixOn().
     recent_parts &recentParts() { return mRecentParts; }
@@ -296,6 +308,7 @@
     void updateTypicalPauses();
     std::optional<core::duration> coldTimeOf(const endpoint &inEndpoint) const;
     void applyColdEntry(endpoint &ioEndpoint, bool inMayHaveStarted, core::time_point inNow) const;
+    void updateTypicalIntervals(core::time_point inNow);
     void addPeer(const peer_loads &inPeer);
     void subtractPeer(const peer_loads &inPeer);
 
@@ -317,6 +330,8 @@
     std::map<std::string, core::duration, std::less<>> mColdTimes;
     /// Whether the last takeColdChanges() left an endpoint reported as cold.
     bool mColdReported = false;
+    /// Median of the engines' intervals between events, by service.
+    std::map<std::string, core::duration, std::less<>> mTypicalIntervals;
 };
 
 } // namespace corneltally::engines
--- a/corneltally/fleet/mesh_messages.h
+++ b/corneltally/fleet/mesh_messages.h
@@ -63,6 +63,7 @@
     quarantine::quarantine_state quarantine;
     std::set<std::uint64_t> leaving;
     std::map<std::uint64_t, core::duration> cold;
+    std::vector<answer_interval> intervals;
 };
 
 } // namespace corneltally::fleet
--- a/corneltally/fleet/mesh_service.cpp
+++ b/corneltally/fleet/mesh_service.cpp
@@ -505,7 +505,8 @@
                    .pauses = inPart.pauses,
                    .quarantine = inPart.quarantine,
                    .leaving = inPart.leaving,
-                   .cold = inPart.cold};
+                   .cold = inPart.cold,
+                   .intervals = inPart.intervals};
     const core::time_point now = core::boot_clock::now();
     beat.sentAt = now;
     beat.storeFailing = mStoreFailing;
--- a/corneltally/forwarding/forward_context.h
+++ b/corneltally/forwarding/forward_context.h
@@ -87,6 +87,8 @@
     /// Longest pause of each answer that ended since the last heartbeat.
     std::vector<fleet::answer_pause> pauses;
     permit_requests permits;
+    /// Typical interval between the events of each such answer.
+    std::vector<fleet::answer_interval> intervals;
     /// When the requests of this instance are ended; set while it is stopping.
     std::optional<core::time_point> stopAt;
     /// Region of each failure domain, from the settings.
--- a/corneltally/forwarding/forwarded_request.h
+++ b/corneltally/forwarding/forwarded_request.h
@@ -2,6 +2,7 @@
 
 #include "corneltally/core/boot_clock.h"
 #include "corneltally/engines/endpoint_choice.h"
+#include "corneltally/engines/event_intervals.h"
 #include "corneltally/fleet/fleet_messages.h"
 #include "corneltally/forwarding/attempt_rules.h"
 #include "corneltally/forwarding/event_splitter.h"
@@ -127,6 +128,7 @@
     void countLoad();
     void uncountLoad();
     void recordPause(const engines::endpoint &inTarget);
+    void recordInterval(const engines::endpoint &inTarget);
     void eventsReceived();
     void firstEventReceived();
     void compareEstimate();
@@ -172,6 +174,7 @@
     std::optional<core::time_point> mFirstByteAt;
     core::time_point mLastByteAt;
     core::duration mLongestPause{};
+    engines::event_intervals mIntervals;
     std::unique_ptr<http1::client_connection> mUpstream;
     http1::response_head mHead;
     std::string mBody;
--- a/tests/unit/fleet_codec_test.cpp
+++ b/tests/unit/fleet_codec_test.cpp
@@ -41,7 +41,8 @@
                                     .storeFailing = true,
                                     .quarantine = cQuarantine,
                                     .leaving = {engines::startDigest("e1", 5)},
-                                    .cold = {{engines::startDigest("e1", 5), 1500ms}}});
+                                    .cold = {{engines::startDigest("e1", 5), 1500ms}},
+                                    .intervals = {{engines::digestOf("e1"), 24'500us}}});
     checkRoundTrip(fleet::operator_end{12});
     checkRoundTrip(fleet::fleet_records{
         {{"engine/e1", "{}", 4}, {"instance/a", std::nullopt, 6}}, 3, 7, true, cNow - 1s, 8});
@@ -59,6 +60,7 @@
         .adapterUses = {engines::digestOf("e1", "base/a1")},
         .adaptersRunning = {engines::digestOf("e1", "base/a2")},
         .pauses = {{engines::digestOf("e1"), 420ms}},
+        .intervals = {{engines::digestOf("e1"), 24'500us}},
         .engines = {{"b", {"e1", 5, true, {{{"base/a1", 1}}, {{"base/a2", {3, cNow + 250ms}}}}}}},
         .quarantine = cQuarantine,
         .cold = {{engines::startDigest("e1", 5), 1500ms}}});
