Weigh requests against each other during an overload

Cause: an instance decides on each request by its own time alone, so that during an overload late requests delay those that could still be in time. First working path; bounds by size are not held yet.

--- a/corneltally/engines/endpoint_table.cpp
+++ b/corneltally/engines/endpoint_table.cpp
@@ -191,6 +191,8 @@
     peer_loads &peer = mPeers[inInstance];
     subtractPeer(peer);
     peer = {std::move(inLoads), std::move(inRunning), inNow};
+    for (const auto &[digest, load] : peer.loads)
+        peer.promptTokens += load.promptTokens;
     addPeer(peer);
 }
 
@@ -333,6 +335,31 @@
     return total;
 }
 
+scheduling::service_backlog endpoint_table::backlogOf(std::string_view inService,
+                                                      core::time_point inNow) const
+{
+    scheduling::service_backlog sums;
+    for (const auto &[id, target] : mEndpoints) {
+        if (target.entry.service != inService || !usable(target, inNow))
+            continue;
+        const endpoint_load load = totalLoad(target);
+        ++sums.endpoints;
+        sums.requests += load.requests;
+        sums.promptTokens += load.promptTokens;
+    }
+    // Reports of other services are included: a report's age is that of the connection.
+    double tokens = 0;
+    double age = 0;
+    for (const auto &[instance, peer] : mPeers) {
+        tokens += peer.promptTokens;
+        age += peer.promptTokens * std::chrono::duration<double>(inNow - peer.at).count();
+    }
+    if (tokens > 0)
+        sums.age = std::chrono::duration_cast<core::duration>(
+            std::chrono::duration<double>(age / tokens));
+    return sums;
+}
+
 bool endpoint_table::usable(const endpoint &inEndpoint, core::time_point inNow) const
 {
     if (inEndpoint.entry.leaving || !inEndpoint.condition.takesRequests(inNow)
--- a/corneltally/engines/endpoint_table.h
+++ b/corneltally/engines/endpoint_table.h
@@ -7,6 +7,7 @@
 #include "corneltally/engines/estimate_correction.h"
 #include "corneltally/engines/recent_parts.h"
 #include "corneltally/scheduling/endpoint_health.h"
+#include "corneltally/scheduling/service_backlog.h"
 
 #include <cstdint>
 #include <functional>
@@ -201,6 +202,9 @@
     /// Load of an endpoint over all instances.
     endpoint_load totalLoad(const endpoint &inEndpoint) const;
 
+    /// Sums of the loads of a service's usable endpoints over all instances.
+    scheduling::service_backlog backlogOf(std::string_view inService, core::time_point inNow) const;
+
     /// Whether an endpoint may receive new requests.
     bool usable(const endpoint &inEndpoint, core::time_point inNow) const;
 
@@ -226,6 +230,8 @@
         std::map<endpoint_digest, endpoint_load> loads;
         std::set<adapter_digest> running;
         core::time_point at;
+        /// Sum over the loads.
+        double promptTokens = 0;
     };
 
     void updateTypicalPauses();
--- a/corneltally/forwarding/forward_context.h
+++ b/corneltally/forwarding/forward_context.h
@@ -4,6 +4,7 @@
 #include "corneltally/engines/endpoint_choice.h"
 #include "corneltally/engines/endpoint_table.h"
 #include "corneltally/fleet/fleet_messages.h"
+#include "corneltally/forwarding/overload_control.h"
 #include "corneltally/http1/connection_pool.h"
 #include "corneltally/limits/fleet_allowance.h"
 #include "corneltally/limits/fleet_retry_budget.h"
@@ -84,6 +85,7 @@
     std::vector<fleet::answer_pause> pauses;
     /// When the requests of this instance are ended; set while it is stopping.
     std::optional<core::time_point> stopAt;
+    overload_control overload = overload_control();
 };
 
 } // namespace corneltally::forwarding
--- a/corneltally/forwarding/forwarded_request.cpp
+++ b/corneltally/forwarding/forwarded_request.cpp
@@ -27,8 +27,6 @@
 constexpr core::duration cMisdirectedPause = std::chrono::seconds(2);
 /// Nothing is sent to an unreachable endpoint for this long.
 constexpr core::duration cUnreachablePause = milliseconds(500);
-/// Engines rank requests from 0, the most urgent, to this value.
-constexpr int cMaxUrgency = 9;
 /// Upper bounds of the histogram of times to the first event relative to their estimates.
 constexpr std::array<std::pair<double, std::string_view>, 8> cEstimateRatios{
     {{0.5, "0.5"},
@@ -254,11 +252,15 @@
             answerUnknown("no other endpoint can serve the request");
         return;
     }
-    if (choice->estimate > timeLeft() && !mAnswerStarted && mRunState == run_state::not_run) {
+    const bool isWeighed = mContext.overload.isEnabled() && mService->engine && mPriority;
+    if (!isWeighed && choice->estimate > timeLeft() && !mAnswerStarted
+        && mRunState == run_state::not_run) {
         refuseBusy("the estimated wait is longer than the time left");
         return;
     }
     mChoice = *choice;
+    if (isWeighed && !weighOverload(now))
+        return;
     const engines::endpoint &target = *mContext.endpoints.find(mChoice.endpoint);
     mEndpointStart = target.entry.startedMs;
     if (mChoice.state == engines::endpoint_choice::readiness::ready) {
@@ -298,9 +300,7 @@
             std::min(mCallerDeadline, mAnswerDeadline + mContext.settings.answerMargin) - now),
         .endpointId = mChoice.endpoint,
         .account = mAccount,
-        .urgency = mService->engine && mPriority
-            ? std::optional(std::clamp(*mPriority, 0, cMaxUrgency))
-            : std::nullopt,
+        .urgency = urgency(),
         .lastEventId = mLastEventId};
     http1::request_head head = platform::encodeRequest(mRequest.head, terms);
     const bool hasBody = !mRequest.body.empty() || mRequest.head.method != "GET";
@@ -347,6 +347,7 @@
     target.health.started();
     mLoadCounted = true;
     mPromptCounted = true;
+    countOverload();
 }
 
 /// Updates the longest pause between the events of the stream.
@@ -375,6 +376,7 @@
         mFirstByteAt = core::boot_clock::now();
         compareEstimate();
     }
+    uncountOverload(true);
     if (!mPromptCounted)
         return;
     mPromptCounted = false;
@@ -403,6 +405,7 @@
 
 void forwarded_request::uncountLoad()
 {
+    uncountOverload(false);
     if (!mLoadCounted)
         return;
     mLoadCounted = false;
@@ -546,6 +549,7 @@
 
 void forwarded_request::deadlineExpired()
 {
+    overloadNotServed();
     if (mAnswerStarted) {
         endUnfinished("the time of the route is over");
         return;
--- a/corneltally/forwarding/forwarded_request.h
+++ b/corneltally/forwarding/forwarded_request.h
@@ -10,6 +10,7 @@
 #include "corneltally/quarantine/shared_part.h"
 #include "corneltally/routing/request_terms.h"
 #include "corneltally/routing/routing_table.h"
+#include "corneltally/scheduling/overload_policy.h"
 
 #include <functional>
 #include <memory>
@@ -59,6 +60,9 @@
     }
 
 private:
+    /// Engines rank requests from 0, the most urgent, to this value.
+    static constexpr int cMaxUrgency = 9;
+
     enum class state { received, waiting, sent, answering, done };
 
     bool resolveRoute();
@@ -106,6 +110,12 @@
     void compareEstimate();
     core::duration timeLeft() const;
     core::duration retryAfter() const;
+    scheduling::overload_request overloadRequest(core::time_point inNow) const;
+    bool weighOverload(core::time_point inNow);
+    std::optional<int> urgency() const;
+    void countOverload();
+    void uncountOverload(bool inBegun);
+    void overloadNotServed();
 
     forward_context &mContext;
     http1::server_connection &mCaller;
@@ -126,6 +136,10 @@
     /// Whether the request tests a part in quarantine.
     bool mIsProbe = false;
     engines::endpoint_choice mChoice;
+    /// The latest decision of the overload policy, if it is in force for the service.
+    std::optional<scheduling::overload_decision> mOverload;
+    /// Urgency with which the prompt is counted as waiting by the overload policy.
+    std::optional<int> mCountedUrgency;
     std::uint64_t mEndpointStart = 0;
     kernel::timer mDeadline;
     kernel::timer mAdapterTimer;
--- a/corneltally/forwarding/front_service.cpp
+++ b/corneltally/forwarding/front_service.cpp
@@ -40,7 +40,11 @@
                .quarantine = quarantine::part_quarantine(mOptions.instance),
                .namedVersions = {},
                .adapterUses = {},
-               .stopAt = {}}
+               .stopAt = {},
+               .overload
+               = overload_control(mOptions.weighsOverload,
+                                  {.promptTokensPerMs = mOptions.settings.choice.promptTokensPerMs
+                                       / (1 + mOptions.settings.choice.stepOverhead)})}
     , mPruneTimer(ioRegistry.loop(), [this] { prune(); })
     , mListener(ioRegistry.loop(), [this](int inSocket) { accept(inSocket); })
     , mBodyBudget(std::make_shared<http1::body_budget>(mOptions.bodyBudgetBytes))
--- a/corneltally/forwarding/front_service.h
+++ b/corneltally/forwarding/front_service.h
@@ -26,6 +26,8 @@
     http1::address listen;
     forward_settings settings;
     limits::fleet_retry_budget::limits retries;
+    /// Whether requests are weighed against each other during an overload.
+    bool weighsOverload = false;
     /// Bytes that the bodies of requests may take together.
     std::uint64_t bodyBudgetBytes = 128 * 1024 * 1024;
     /// Time after the start in which requests wait for the first message of another instance, which
--- a/corneltally/forwarding/instance.cpp
+++ b/corneltally/forwarding/instance.cpp
@@ -143,6 +143,7 @@
                               .failureDomain = mSettings.failureDomain,
                               .listen = addressOf(mSettings.callers),
                               .retries = retryLimits(mSettings),
+                              .weighsOverload = mSettings.weighsOverload,
                               .bodyBudgetBytes = bodyBudgetBytes(mSettings)};
         options.settings.choice.adapterLoad = milliseconds(mSettings.adapterLoadMs);
         options.settings.choice.promptTokensPerMs = mSettings.promptTokensPerMs;
--- a/corneltally/settings/forwarding_settings.cpp
+++ b/corneltally/settings/forwarding_settings.cpp
@@ -13,7 +13,7 @@
 
 using target_member
     = std::variant<std::string forwarding_settings::*, std::int64_t forwarding_settings::*,
-                   double forwarding_settings::*>;
+                   double forwarding_settings::*, bool forwarding_settings::*>;
 
 struct known_key
 {
@@ -47,6 +47,8 @@
          &self::adapterLoadMs},
         {{"engines", false, {"prompt_tokens_per_ms", number, "tokens/ms", "40", 0.01, 1e6, ""}},
          &self::promptTokensPerMs},
+        {{"overload", false, {"weigh_requests", boolean, "", "false", 0, 0, ""}},
+         &self::weighsOverload},
     };
     return sKeys;
 }
@@ -63,6 +65,8 @@
         ioSettings.*(*text) = std::get<std::string>(inValue);
     } else if (const auto *integer = std::get_if<std::int64_t forwarding_settings::*>(&inTarget)) {
         ioSettings.*(*integer) = std::get<std::int64_t>(inValue);
+    } else if (const auto *flag = std::get_if<bool forwarding_settings::*>(&inTarget)) {
+        ioSettings.*(*flag) = std::get<bool>(inValue);
     } else {
         const auto *whole = std::get_if<std::int64_t>(&inValue);
         ioSettings.*std::get<double forwarding_settings::*>(inTarget)
--- a/corneltally/settings/forwarding_settings.h
+++ b/corneltally/settings/forwarding_settings.h
@@ -40,6 +40,8 @@
     /// Adapter load time and prefill speed, for estimates.
     std::int64_t adapterLoadMs = 250;
     double promptTokensPerMs = 40;
+    /// Whether requests are weighed against each other during an overload.
+    bool weighsOverload = false;
 
     /// Parses and checks a file. On failure the error lists every problem on a line of its own;
     /// outProblems receives them individually.
