--- a/corneltally/forwarding/forwarded_request_answer.cpp
+++ b/corneltally/forwarding/forwarded_request_answer.cpp
@@ -293,6 +293,8 @@
                          : -1},
                     {"sent_ms", mSendCount > 0 ? inMs(mSentAt - mRequest.arrived) : -1},
                     {"adapter_state", toString(mChoice.state)},
+                    {"overload_rule", mOverload ? toString(mOverload->decidedBy) : "off"},
+                    {"urgency", mOverload ? mOverload->urgency : -1},
                     {"longest_pause_ms", inMs(mLongestPause)},
                     {"first_ms", mFirstByteAt ? inMs(*mFirstByteAt - mRequest.arrived) : -1},
                     {"ms", inMs(now - mRequest.arrived)}});
