--- a/corneltally/scheduling/overload_policy.cpp
+++ b/corneltally/scheduling/overload_policy.cpp
@@ -135,14 +135,14 @@
     const double typical = mTypicalWork[static_cast<std::size_t>(priority)];
     const double relativeWork = inMs(inRequest.work) / std::max(1.0, typical);
     // The benefit of a late answer is the same for all sizes, so that the price of its work grows
-    // with its size. A longer limit must not let in requests of lower priority.
-    const double lateBoundMs = shortestLimit(inRequest, inNow) * mOptions.limitPart
-        / std::sqrt(std::clamp(relativeWork, 1.0, cMaxRelativeWork));
+    // with its size.
+    const double lateBoundMs
+        = limitMs * mOptions.limitPart / std::sqrt(std::clamp(relativeWork, 1.0, cMaxRelativeWork));
     const double higher = lowestShareOfHigherPriority(priority, inNow);
     decision.kindServed = mShares.share(kindGroup(inRequest.kind), inNow);
     decision.comparedServed = mShares.share(cAll, inNow);
     const bool isDrawn
-        = isLarge(inRequest) && inRequest.draw < mOptions.sizeDraw * decision.kindServed;
+        = isLargest(inRequest) && inRequest.draw < mOptions.sizeDraw * decision.kindServed;
     if (inRequest.mayRefuse && promptMs > limitMs) {
         set(rule::no_time, prompt, promptMs, limitMs);
     } else if (isBelowGroupFloor(inRequest, inNow)) {
@@ -256,20 +256,6 @@
     return lowest;
 }
 
-/// Shortest limit of the request and of the kinds of higher priority that are refused at times, in
-/// milliseconds.
-double overload_policy::shortestLimit(const overload_request &inRequest,
-                                      core::time_point inNow) const
-{
-    double shortest = inMs(inRequest.toLimit);
-    for (const auto &[name, kind] : mKinds) {
-        if (kind.priority < inRequest.priority
-            && mShares.share(kindGroup(name), inNow) < 1 - mOptions.priorityTolerance)
-            shortest = std::min(shortest, kind.limit);
-    }
-    return shortest;
-}
-
 /// Prompt relative to the average of its kind.
 double overload_policy::relativeSize(const overload_request &inRequest) const
 {
@@ -278,9 +264,9 @@
     return kind == mKinds.end() ? 1 : prefill / std::max(1.0, kind->second.prefill);
 }
 
-bool overload_policy::isLarge(const overload_request &inRequest) const
+bool overload_policy::isLargest(const overload_request &inRequest) const
 {
-    return relativeSize(inRequest) > cLargeSize;
+    return relativeSize(inRequest) > cLargestSize;
 }
 
 /// Group of the requests of a kind by size.
--- a/corneltally/scheduling/overload_policy.h
+++ b/corneltally/scheduling/overload_policy.h
@@ -34,12 +34,12 @@
     /// Requests of an account or a kind that is served less than this part as often as all are
     /// sent first. The bound is a quarter.
     double groupFloor = 0.35;
-    /// The same for large requests, relative to their kind. The bound is one half.
+    /// The same for requests of a size, relative to their kind. The bound is one half.
     double sizeFloor = 0.65;
-    /// Part of the large requests that are sent instead of refused, relative to the served share of
-    /// their kind. In the simulation at three times the traffic, 0.4 left the largest tenth of a
-    /// kind at 0.46 of it, below the bound of one half, and 0.5 at 0.57.
-    double sizeDraw = 0.5;
+    /// Part of the largest requests that are sent instead of refused, relative to the served share
+    /// of their kind. In the simulation at three times the traffic, 0.5 left the largest tenth of a
+    /// kind at 0.497 of it, below the bound of one half, and 0.6 at 0.67.
+    double sizeDraw = 0.6;
     /// A request with less than this part of its kind's time left returned after a refusal.
     double returnPart = 0.98;
     /// Minimum number of recent requests for a comparison of served shares.
@@ -70,7 +70,7 @@
     /// Part of it for the prompts that wait there.
     core::duration backlogAhead{};
     /// Number in [0, 1) drawn for the request, for example from its id. It decides which of the
-    /// large requests that would be refused are sent.
+    /// largest requests that would be refused are sent.
     double draw = 1;
     /// Whether it is certain that the request has not run.
     bool mayRefuse = true;
@@ -162,10 +162,9 @@
     double lateSpeed(int inUrgency) const;
     bool isBelowGroupFloor(const overload_request &inRequest, core::time_point inNow) const;
     bool isBelowSizeFloor(const overload_request &inRequest, core::time_point inNow) const;
-    double shortestLimit(const overload_request &inRequest, core::time_point inNow) const;
     double lowestShareOfHigherPriority(int inPriority, core::time_point inNow) const;
     double relativeSize(const overload_request &inRequest) const;
-    bool isLarge(const overload_request &inRequest) const;
+    bool isLargest(const overload_request &inRequest) const;
     std::string sizeGroup(const overload_request &inRequest) const;
     core::duration returnTime(const overload_request &inRequest, const service_backlog &inBacklog,
                               double inWaitMs, core::time_point inNow);
