Serve accounts and kinds below their floor also behind a long backlog

Cause: a request whose own priority left no time within its limit was refused before the floor of its account or kind was looked at, so that an account could be refused entirely. Change: the floor comes first where the request has time ahead of all others; the test of accounts covers that backlog.

--- a/corneltally/scheduling/overload_policy.cpp
+++ b/corneltally/scheduling/overload_policy.cpp
@@ -143,10 +143,11 @@
     decision.comparedServed = mShares.share(cAll, inNow);
     const bool isDrawn
         = isLargest(inRequest) && inRequest.draw < mOptions.sizeDraw * decision.kindServed;
-    if (inRequest.mayRefuse && promptMs > limitMs) {
+    const double firstMs = expectedMs(0);
+    if (isBelowGroupFloor(inRequest, inNow) && (firstMs <= limitMs || !inRequest.mayRefuse)) {
+        set(rule::floor, 0, firstMs, limitMs);
+    } else if (inRequest.mayRefuse && promptMs > limitMs) {
         set(rule::no_time, prompt, promptMs, limitMs);
-    } else if (isBelowGroupFloor(inRequest, inNow)) {
-        set(rule::floor, 0, expectedMs(0), limitMs);
     } else if (mayShed && higher + mOptions.priorityTolerance < decision.kindServed) {
         set(rule::shed_priority, prompt, promptMs, targetMs);
         decision.comparedServed = higher;
--- a/tests/unit/scheduling_overload_policy_test.cpp
+++ b/tests/unit/scheduling_overload_policy_test.cpp
@@ -137,17 +137,19 @@
 
 TEST_CASE("an account whose requests would all be refused is served a quarter as often as all")
 {
+    // With the longer backlog there is time for the requests only ahead of all others.
+    const core::duration backlog = GENERATE(core::duration(4s), core::duration(6s));
     overload_policy policy = policyWith({0, 0, 1e6});
     const auto isSent = [&](const std::string &inAccount, core::duration inBacklog) {
         overload_request made = requestOf(1, inBacklog);
         made.account = inAccount;
-        return !policy.decide(made, backlogOf(4s), cStart).isRefused();
+        return !policy.decide(made, backlogOf(backlog), cStart).isRefused();
     };
     int sent = 0;
     int sentOfOther = 0;
     for (int index = 0; index < 40; ++index) {
         sentOfOther += isSent("other", 0s) ? 1 : 0;
-        sent += isSent("refused", 4s) ? 1 : 0;
+        sent += isSent("refused", backlog) ? 1 : 0;
     }
     CHECK(sent < 40);
     CHECK(sent >= (sent + sentOfOther) / 2 / 4);
