--- a/corneltally/forwarding/forward_context.h
+++ b/corneltally/forwarding/forward_context.h
@@ -4,6 +4,7 @@
 #include "corneltally/engines/endpoint_choice.h"
 #include "corneltally/engines/endpoint_table.h"
 #include "corneltally/fleet/fleet_messages.h"
+#include "corneltally/forwarding/overload_control.h"
 #include "corneltally/forwarding/permit_requests.h"
 #include "corneltally/http1/connection_pool.h"
 #include "corneltally/limits/fleet_allowance.h"
@@ -95,6 +96,7 @@
     routing::domain_regions regions = {};
     /// Whether requests wait before they are sent, see front_options::confirmsEvacuations.
     bool sendsHeld = false;
+    overload_control overload = overload_control();
 };
 
 } // namespace corneltally::forwarding
--- a/corneltally/forwarding/front_service.cpp
+++ b/corneltally/forwarding/front_service.cpp
@@ -45,7 +45,11 @@
                .permits = {},
                .stopAt = {},
                .regions = mOptions.regions,
-               .sendsHeld = false}
+               .sendsHeld = false,
+               .overload
+               = overload_control(mOptions.weighsOverload,
+                                  {.promptTokensPerMs = mOptions.settings.choice.promptTokensPerMs
+                                       / (1 + mOptions.settings.choice.stepOverhead)})}
     , mPruneTimer(ioRegistry.loop(), [this] { prune(); })
     , mListener(ioRegistry.loop(), [this](int inSocket) { accept(inSocket); })
     , mBodyBudget(std::make_shared<http1::body_budget>(mOptions.bodyBudgetBytes))
--- a/corneltally/forwarding/front_service.h
+++ b/corneltally/forwarding/front_service.h
@@ -32,6 +32,8 @@
     /// Whether nothing is sent after a process pause until the operator records were read again,
     /// since a failure domain may have been evacuated meanwhile.
     bool confirmsEvacuations = false;
+    /// Whether requests are weighed against each other during an overload.
+    bool weighsOverload = false;
     /// Bytes that the bodies of requests may take together.
     std::uint64_t bodyBudgetBytes = 128 * 1024 * 1024;
     /// Time after the start in which requests wait for the first message of another instance, which
--- a/corneltally/forwarding/instance.cpp
+++ b/corneltally/forwarding/instance.cpp
@@ -159,10 +159,12 @@
                               .listen = addressOf(mSettings.callers),
                               .retries = retryLimits(mSettings),
                               .confirmsEvacuations = mSettings.evacuationMs > 0,
+                              .weighsOverload = mSettings.weighsOverload,
                               .bodyBudgetBytes = bodyBudgetBytes(mSettings),
                               .regions = mSettings.regions};
         options.settings.choice.adapterLoad = milliseconds(mSettings.adapterLoadMs);
         options.settings.choice.promptTokensPerMs = mSettings.promptTokensPerMs;
+        options.settings.choice.learnsSpeed = mSettings.learnsSpeed;
         options.settings.limitsCold = mSettings.coldOver > 0;
         return options;
     }
--- a/corneltally/settings/forwarding_settings.h
+++ b/corneltally/settings/forwarding_settings.h
@@ -47,12 +47,16 @@
     /// Adapter load time and prefill speed, for estimates.
     std::int64_t adapterLoadMs = 250;
     double promptTokensPerMs = 40;
+    /// Whether the speed of each engine is learned from its answers.
+    bool learnsSpeed = false;
     /// Region of each failure domain. A failure domain that is not listed is in no region.
     std::map<std::string, std::string, std::less<>> regions;
     /// Requests that a cold endpoint may receive in a second: a multiple of what it sustains, and
     /// additional ones. Without the factor the rule is not in force.
     double coldOver = 0;
     double coldSlack = 0;
+    /// Whether requests are weighed against each other during an overload.
+    bool weighsOverload = false;
 
     /// Parses and checks a file. On failure the error lists every problem on a line of its own;
     /// outProblems receives them individually.
--- a/tests/unit/forwarding_front_fixture.h
+++ b/tests/unit/forwarding_front_fixture.h
@@ -112,7 +112,8 @@
 struct front_fixture
 {
     core::duration firstMessageTimeout;
-    bool confirmsEvacuations;
+    bool confirmsEvacuations = false;
+    bool weighsOverload = false;
     kernel::event_loop loop;
     core::metrics metrics;
     kernel::service_registry registry{loop};
@@ -126,6 +127,7 @@
                                   .settings = {.limitsCold = true},
                                   .retries = {.ratio = 0.2, .slack = 100},
                                   .confirmsEvacuations = confirmsEvacuations,
+                                  .weighsOverload = weighsOverload,
                                   .firstMessageTimeout = firstMessageTimeout}))};
     kernel::timer limit{loop, [this] { loop.stop(); }};
     kernel::timer heartbeats{loop, [this] { registry.broadcast(fleet::heartbeat_due{}); }};
@@ -137,9 +139,10 @@
     double coldPerSecond = 0;
 
     explicit front_fixture(core::duration inFirstMessageTimeout = 400ms,
-                           bool inConfirmsEvacuations = false)
+                           bool inConfirmsEvacuations = false, bool inWeighsOverload = false)
         : firstMessageTimeout(inFirstMessageTimeout)
         , confirmsEvacuations(inConfirmsEvacuations)
+        , weighsOverload(inWeighsOverload)
     {
         REQUIRE(front.listen());
         registry.handle<orders::local_load_wanted>(
@@ -169,6 +172,7 @@
                         .pathPrefix = "/lm/",
                         .kind = inKind,
                         .timeout = inTimeout,
+                        .targetLatency = 1s,
                         .maxEndpoints = inMaxEndpoints,
                         .services = {{"models", 1}}}},
             .services = {{.name = "shop", .coldTime = 10s, .coldPerSecond = coldPerSecond},
