Check endpoint choice during evacuations

Cause: choices leave evacuated endpoints out by two ways, so that no test failed when usable() alone said yes to them.

--- a/tests/unit/forwarding_evacuation_test.cpp
+++ b/tests/unit/forwarding_evacuation_test.cpp
@@ -169,6 +169,30 @@
     CHECK(fixture.second.requests.size() == (breaks ? 1 : 0));
 }
 
+// Failure: a request that an engine refuses for want of its adapter is sent there again.
+TEST_CASE("a request that an evacuated engine refuses is not sent there again")
+{
+    evacuation_fixture fixture;
+    fixture.configure(repetition::once_stream, 2, 4s);
+    fixture.announce("m2", "models", fixture.second);
+    fixture.engineState({{{"base/a1", 1}}, {}});
+    fixture.settle(50ms);
+    fixture.second.script = {{cStreamHead + chunk("id: 1\ndata: a\n\n") + "0\r\n\r\n"}};
+    const auto caller = fixture.connect();
+    caller_view view;
+    fixture.send(*caller, view, "/lm/1", cAdapter);
+    fixture.settle(50ms);
+    REQUIRE(fixture.first.requests.size() == 1);
+    fixture.engineState({{{"base/a1", 1}}, {}}, "m2");
+    fixture.evacuate("north");
+    fixture.first.streams.back()->write("HTTP/1.1 421 Misdirected\r\n"
+                                        + std::string(platform::cNotExecutedField)
+                                        + ": 1\r\nContent-Length: 0\r\n\r\n");
+    fixture.loop.run();
+    CHECK(view.status == 200);
+    CHECK(fixture.first.requests.size() == 1);
+}
+
 // Failure: an instance that was paused while the evacuation began sends requests on what it knew
 // before, or, if the store is out of reach, nothing at all.
 TEST_CASE("after a process pause requests wait until the operator's records were read again")
