Learn how late loads are, and let requests wait for them

Change: a load is late if a request is refused for it within 1.2 s. In force with engines.learn_speed. The new case of orders_engine_keeper_test counts 40 refused requests without the change and at most 8 with it.

--- a/corneltally/forwarding/instance.cpp
+++ b/corneltally/forwarding/instance.cpp
@@ -190,6 +190,7 @@
                                       .failureDomain = mSettings.failureDomain};
         options.claims.handoverPause = milliseconds(mSettings.holderPauseMs);
         options.controller.adapterLoad = milliseconds(mSettings.adapterLoadMs);
+        options.learnsLoadTime = mSettings.learnsSpeed;
         options.coldOver = mSettings.coldOver;
         options.coldSlack = mSettings.coldSlack;
         options.confirmsEvacuations = mSettings.evacuationMs > 0;
--- a/corneltally/orders/engine_controller.cpp
+++ b/corneltally/orders/engine_controller.cpp
@@ -42,6 +42,7 @@
         mArriving.clear();
         mModels.clear();
         mWarm.clear();
+        mOpenLoads.clear();
         mOrders.reset();
         mInFlight.reset();
         mUnresolved.reset();
@@ -86,6 +87,8 @@
 void engine_controller::adapterMissing(const std::string &inKey, core::time_point inNow)
 {
     mNextReport = std::min(mNextReport, inNow + mOptions.resyncPeriod);
+    if (mOpenLoads.erase(inKey) > 0)
+        ++mLoadOutcomes.late;
     const auto resident = mVersions.find(inKey);
     if (resident == mVersions.end())
         return;
@@ -317,6 +320,8 @@
         return;
     }
     const core::time_point readyAt = inNow + loadTime(key);
+    if (!isWarm(key))
+        mOpenLoads[key] = inNow;
     mVersions.erase(key);
     mArriving[key] = {inOrder.version, readyAt};
 }
@@ -337,7 +342,8 @@
     if (isWarm(inKey))
         return scaled(mOptions.warmLoad);
     const double inFlight = arriving() + 1 + mLoadState.arrivingElsewhere;
-    return scaled(std::clamp(inFlight / mLoadState.fullSpeedLoads, 1.0, mOptions.maxSlowDown));
+    return scaled(std::clamp(std::max(inFlight / mLoadState.fullSpeedLoads, mLoadState.slowness),
+                             1.0, mOptions.maxSlowDown));
 }
 
 bool engine_controller::isWarm(const std::string &inKey) const
@@ -372,6 +378,10 @@
         ++mRevision;
         entry = mArriving.erase(entry);
     }
+    const auto timely = std::erase_if(mOpenLoads, [&](const auto &inEntry) {
+        return inNow - inEntry.second > mOptions.lateLoadLimit;
+    });
+    mLoadOutcomes.timely += static_cast<int>(timely);
     std::erase_if(mUsed,
                   [&](const auto &inEntry) { return inNow - inEntry.second > cUseRetention; });
     mUsage.prune(inNow);
--- a/corneltally/orders/engine_controller.h
+++ b/corneltally/orders/engine_controller.h
@@ -5,6 +5,7 @@
 #include "corneltally/engines/engine_order.h"
 #include "corneltally/engines/engine_report.h"
 #include "corneltally/orders/adapter_usage.h"
+#include "corneltally/orders/load_slowness.h"
 #include "corneltally/orders/unanswered_loads.h"
 #include "corneltally/routing/service.h"
 #include "corneltally/scheduling/adapter_slots.h"
@@ -15,6 +16,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace corneltally::orders {
@@ -28,6 +30,8 @@
     double fullSpeedLoads = 8;
     /// Whether another adapter may be fetched from the weight store.
     bool mayFetch = true;
+    /// By how much loads are slower than the number in flight lets expect.
+    double slowness = 1;
 
     friend auto operator<=>(const load_state &, const load_state &) = default;
 };
@@ -46,6 +50,9 @@
     std::size_t warmAdapters = 40;
     /// Delay before requests may use an adapter again that was expected to be resident but is not.
     core::duration lateLoadDelay = std::chrono::milliseconds(80);
+    /// A load counts as late if requests are refused for its adapter within this time after the
+    /// engine accepted it. After it a missing adapter was lost for another reason.
+    core::duration lateLoadLimit = std::chrono::milliseconds(1200);
     /// Adapters that one engine may load at the same time; engines load up to 4.
     int maxArriving = 4;
     /// Delay before a named version replaces an adapter in use: the engine takes no other order
@@ -115,6 +122,9 @@
     /// Whether the number of accepted orders is known, without which no order can be given.
     bool inSync() const { return mOrders.has_value() && !mUnresolved; }
 
+    /// Loads that were found late or timely since the last call.
+    load_outcomes takeLoadOutcomes() { return std::exchange(mLoadOutcomes, {}); }
+
     engines::residency adapters() const;
     /// Number of adapters that are being loaded.
     int arriving() const { return static_cast<int>(mArriving.size()); }
@@ -184,6 +194,10 @@
     /// Recently unloaded adapters, the latest last.
     std::vector<std::string> mWarm;
     load_state mLoadState;
+    /// Accepted loads from the weight store that were not yet found late or timely, with the times
+    /// at which they were accepted.
+    std::map<std::string, core::time_point, std::less<>> mOpenLoads;
+    load_outcomes mLoadOutcomes;
     std::optional<std::uint64_t> mOrders;
     std::optional<in_flight_order> mInFlight;
     /// An order that was sent twice, so that only a report can show its effect.
--- a/corneltally/orders/order_service.cpp
+++ b/corneltally/orders/order_service.cpp
@@ -487,6 +487,8 @@
 load_state order_service::loadStateOf(const std::string &inEngine, core::time_point inNow) const
 {
     load_state loads{.arrivingElsewhere = arrivingElsewhere(inEngine, inNow)};
+    if (mOptions.learnsLoadTime)
+        loads.slowness = mLoadSlowness.factor();
     loads.fullSpeedLoads = std::max(cMinParallelLoads,
                                     cParallelLoadsPerEngine * static_cast<double>(mEntries.size()));
     int own = 0;
@@ -502,6 +504,7 @@
                                   core::time_point inNow)
 {
     ioHeld.controller.advance(inNow);
+    mLoadSlowness.record(ioHeld.controller.takeLoadOutcomes());
     if (mClaims.mayOrder(inEngine, inNow) && takesOrders(inEngine, ioHeld, inNow)) {
         ioHeld.controller.setLoadState(loadStateOf(inEngine, inNow));
         if (const auto order = ioHeld.controller.nextOrder(inNow))
--- a/corneltally/orders/order_service.h
+++ b/corneltally/orders/order_service.h
@@ -37,6 +37,8 @@
     std::string failureDomain;
     fleet::claim_options claims;
     controller_options controller;
+    /// Whether the time of loads is learned from those that turn out to be late.
+    bool learnsLoadTime = false;
     /// Requests that a cold endpoint may receive in a second: a multiple of what it sustains, and
     /// additional ones. Without the factor no permits are needed.
     double coldOver = 0;
@@ -152,6 +154,8 @@
     std::set<std::string> mEvacuated;
     /// When the process was paused, until a later read of the operator records.
     std::optional<core::time_point> mUnconfirmedSince;
+    /// Learned from the loads of all engines that this instance holds.
+    load_slowness mLoadSlowness;
     std::vector<fleet::live_candidate> mLive;
     /// Adapters of the engines that other instances hold, by engine.
     std::map<std::string, engines::residency> mRemoteAdapters;
--- a/tests/unit/orders_engine_keeper_test.cpp
+++ b/tests/unit/orders_engine_keeper_test.cpp
@@ -331,6 +331,50 @@
     CHECK(loadTime(10'000, 31.5) == 750ms);
 }
 
+// Load: many engines load at once after a crash, and each load takes 400 ms in place of 250.
+// Requests that are sent at the usual time are refused by the engine, and their retries use up the
+// budget.
+TEST_CASE("requests wait longer for loads once loads turn out to be late")
+{
+    const auto refusedOf = [](bool inLearns) {
+        orders::load_slowness slowness;
+        int refused = 0;
+        for (int load = 0; load < 40; ++load) {
+            controlled_engine engine;
+            engine.controller.setLoadState({.slowness = inLearns ? slowness.factor() : 1});
+            engine.load("a1");
+            const core::time_point resident = engine.now + 400ms;
+            while (!engine.controller.adapters().resident.contains("base/a1")) {
+                engine.now += 10ms;
+                engine.controller.advance(engine.now);
+            }
+            if (engine.now < resident) {
+                ++refused;
+                engine.controller.adapterMissing("base/a1", engine.now);
+            }
+            engine.now += 2s;
+            engine.controller.advance(engine.now);
+            slowness.record(engine.controller.takeLoadOutcomes());
+        }
+        return refused;
+    };
+    CHECK(refusedOf(false) == 40);
+    CHECK(refusedOf(true) <= 8);
+
+    // Timely loads shorten the wait again, and an adapter that is missed much later counts as lost.
+    orders::load_slowness slowness;
+    slowness.record({.late = 10});
+    CHECK(slowness.factor() == orders::load_slowness::sMax);
+    slowness.record({.timely = 150});
+    CHECK(slowness.factor() == 1);
+    controlled_engine engine;
+    engine.load("a1");
+    engine.now += 2s;
+    engine.controller.advance(engine.now);
+    engine.controller.adapterMissing("base/a1", engine.now);
+    CHECK(engine.controller.takeLoadOutcomes() == orders::load_outcomes{.timely = 1});
+}
+
 // Pattern: many requests for rare adapters at once. Loads beyond what the weight store serves at
 // full speed slow down all loads, so that each request waits for the loads of all others.
 TEST_CASE("loads from the weight store wait for earlier ones, loads of warm adapters do not")
