--- a/corneltally/engines/endpoint_choice.cpp
+++ b/corneltally/engines/endpoint_choice.cpp
@@ -1,6 +1,7 @@
 #include "corneltally/engines/endpoint_choice.h"
 
 #include "corneltally/core/digest.h"
+#include "corneltally/engines/cold_preference.h"
 
 #include <algorithm>
 #include <limits>
@@ -42,16 +43,25 @@
     return std::min(tokens, inRequest.promptTokens);
 }
 
+/// Time that an engine takes for a prefill, relative to the typical one of its service.
+double relativeTime(const endpoint_table &inTable, const endpoint &inEndpoint,
+                    const choice_options &inOptions, core::time_point inNow)
+{
+    return inOptions.learnsSpeed
+        ? inTable.relativeTime(inEndpoint, inNow)
+        : std::clamp(inTable.slowness(inEndpoint), 1.0, inOptions.maxSlowness);
+}
+
 /// Estimated time of the prefill, with that of the prompts ahead.
 double prefillMs(const endpoint_load &inLoad, const work_request &inRequest, double inCachedTokens,
-                 double inSlowness, const choice_options &inOptions)
+                 double inRelativeTime, const choice_options &inOptions)
 {
     const double uncached = inRequest.promptTokens - inCachedTokens;
     const double pairs = uncached * (inRequest.promptTokens - uncached / 2);
     return ((inLoad.promptTokens + uncached) / inOptions.promptTokensPerMs
                 * (1 + inOptions.stepOverhead)
             + pairs / 1e6 * inOptions.prefillMsPerMillionPairs)
-        * std::clamp(inSlowness, 1.0, inOptions.maxSlowness);
+        * inRelativeTime;
 }
 
 /// Estimated wait for a place in the engine's batch and for memory.
@@ -81,7 +91,11 @@
     const double exposure
         = std::min(1.0, tokens * inMs(inOptions.answerToken) / inMs(inOptions.pauseExposure));
     const double delaying = std::min(1.0, inRequest.promptTokens / inOptions.pausingPromptTokens);
-    return inMs(inOptions.pausePenalty) * exposure
+    const double overlap = inOptions.learnsSpeed
+        ? std::clamp(inLoad.promptTokens / inOptions.overlappingPromptTokens, inOptions.minOverlap,
+                     1.0)
+        : 1;
+    return inMs(inOptions.pausePenalty) * exposure * overlap
         + inMs(inOptions.concurrentPenalty) * delaying * inLoad.requests;
 }
 
@@ -103,8 +117,31 @@
     endpoint_choice::readiness state = endpoint_choice::readiness::ready;
     core::time_point readyAt;
     std::uint64_t preference = 0;
+    bool cold = false;
 };
 
+endpoint_option optionOf(const candidate &inCandidate)
+{
+    return {.estimate = fromMs(inCandidate.estimate),
+            .cost = inCandidate.cost,
+            .needsLoad = inCandidate.state == endpoint_choice::readiness::to_load};
+}
+
+/// The best of the warm and the best of the cold candidates are compared by rules of their own.
+const candidate &bestOf(const std::vector<candidate> &inCandidates, core::duration inTarget)
+{
+    const candidate *warm = nullptr;
+    const candidate *cold = nullptr;
+    for (const candidate &entry : inCandidates) {
+        const candidate *&best = entry.cold ? cold : warm;
+        if (best == nullptr || entry.cost < best->cost)
+            best = &entry;
+    }
+    if (warm == nullptr || cold == nullptr)
+        return warm == nullptr ? *cold : *warm;
+    return prefersCold(optionOf(*warm), optionOf(*cold), inTarget) ? *cold : *warm;
+}
+
 /// Adds the wait for the adapter. Returns false if the endpoint can't load it.
 bool addAdapterWait(candidate &ioCandidate, const endpoint_table &inTable, const std::string &inKey,
                     const work_request &inRequest, const choice_options &inOptions,
@@ -192,17 +229,25 @@
             continue;
         if (needsModel && !target->holdsModel(inRequest.model))
             continue;
+        const bool cold = ioTable.isCold(*target, inNow);
+        if (cold && (inRequest.avoidsCold || !endpoint_table::mayAskPermit(*target, inNow)))
+            continue;
         const endpoint_load load = ioTable.totalLoad(*target);
         candidate entry{.target = target,
-                        .preference = core::rendezvousWeight(key, target->entry.id)};
+                        .preference = core::rendezvousWeight(key, target->entry.id),
+                        .cold = cold};
         if (needsModel) {
             entry.prefill = prefillMs(load, inRequest,
                                       cachedTokens(ioTable, *target, inRequest, prefixes, inNow),
-                                      ioTable.slowness(*target), inOptions);
+                                      relativeTime(ioTable, *target, inOptions, inNow), inOptions);
             entry.cost = entry.prefill + placeWaitMs(load, inRequest);
         } else {
             entry.cost = plainCost(*target, load);
         }
+        if (cold) {
+            entry.prefill *= inOptions.coldSlowness;
+            entry.cost *= inOptions.coldSlowness;
+        }
         if (needsModel && !inRequest.adapter.empty()
             && !addAdapterWait(entry, ioTable, key, inRequest, inOptions, inNow))
             continue;
@@ -227,7 +272,7 @@
         if (entry.state == endpoint_choice::readiness::to_load)
             entry.cost += inMs(inOptions.rankPenalty) * rank++;
     }
-    const candidate &best = *std::ranges::min_element(candidates, {}, &candidate::cost);
+    const candidate &best = bestOf(candidates, inRequest.targetTime);
     return endpoint_choice{best.target->entry.id, best.state, best.readyAt, fromMs(best.estimate),
                            fromMs(best.prefill)};
 }
--- a/corneltally/engines/endpoint_choice.h
+++ b/corneltally/engines/endpoint_choice.h
@@ -37,6 +37,14 @@
     core::duration concurrentPenalty = std::chrono::milliseconds(60);
     /// Upper bound of the factor by which an engine counts as slower than the typical one.
     double maxSlowness = 3;
+    /// Whether the time of the prefill is scaled by the speed that an engine's answers show, also
+    /// to less than the typical time. Otherwise only slow engines are told apart, by their pauses.
+    bool learnsSpeed = false;
+    /// With learned speeds, prompt tokens waiting at an engine from which their prefill certainly
+    /// overlaps with a long answer. With fewer, pauses are as much less likely, but not below the
+    /// minimum, since further prompts arrive while the answer runs.
+    double overlappingPromptTokens = 4'096;
+    double minOverlap = 0.2;
     /// Time to load an adapter from the weight store; engines need 250 ms.
     core::duration adapterLoad = std::chrono::milliseconds(250);
     /// Fraction of that time for a warm adapter; engines need a tenth.
@@ -52,6 +60,8 @@
     /// Cost of each rank that an engine is below the preferred one for an adapter that has to be
     /// loaded. It lets the instances choose the same engine while engines are equally loaded.
     core::duration rankPenalty = std::chrono::milliseconds(20);
+    /// Factor by which a cold endpoint counts as slower. Assumed: the platform does not state it.
+    double coldSlowness = 2;
     /// Lower bound of the health weight that divides an endpoint's cost.
     double minHealth = 0.1;
 };
@@ -74,7 +84,11 @@
     double expectedTokens = 0;
     /// Longest pause between events that the route allows; zero if there is no bound.
     core::duration targetPause{};
+    /// Time until the first event within which the request is served in time.
+    core::duration targetTime{};
     std::vector<routing::prompt_part> parts;
+    /// Whether cold endpoints are left out, since permits for them can't be had in time.
+    bool avoidsCold = false;
     /// Endpoints that must not receive the request.
     std::set<std::string> excluded;
     /// Failure domains in which the request may run.
--- a/corneltally/engines/endpoint_table.cpp
+++ b/corneltally/engines/endpoint_table.cpp
@@ -84,9 +84,20 @@
     endpoint &target = found->second;
     const bool restarted = isNew || target.entry.startedMs != inEntry.startedMs
         || target.entry.address != inEntry.address;
-    if (restarted)
-        target = endpoint{};
+    const bool returned = target.removed;
+    if (restarted) {
+        endpoint next;
+        next.holder = target.holder;
+        next.holderGrants = target.holderGrants;
+        next.permitNotBefore = target.permitNotBefore;
+        next.coldReported = target.coldReported;
+        target = std::move(next);
+    }
+    if (restarted || returned)
+        target.appearedAt = inNow;
     target.entry = inEntry;
+    target.entryAt = inNow;
+    applyColdEntry(target, restarted || returned, inNow);
     target.digest = digestOf(inEntry.id);
     target.startDigest = startDigest(inEntry.id, inEntry.startedMs);
     mByDigest[target.digest] = &target;
@@ -125,7 +136,8 @@
     std::optional<std::pair<core::time_point, core::time_point>> ends;
     for (const auto &[id, target] : mEndpoints) {
         if (target.entry.service != inService || target.removed || target.entry.leaving
-            || target.condition.isLeaving() || !inDomains.contains(target.entry.failureDomain))
+            || target.condition.isLeaving() || isEvacuated(target)
+            || !inDomains.contains(target.entry.failureDomain))
             continue;
         if (!target.condition.isPaused(inNow))
             return std::nullopt;
@@ -178,6 +190,7 @@
         return;
     target->holder = inHolder;
     target->holderReady = inReady;
+    target->holderGrants = inReady;
     target->holderReportAt = inNow;
     recordUnloaded(*target, inAdapters);
     target->setAdapters(std::move(inAdapters));
@@ -192,6 +205,8 @@
     peer_loads &peer = mPeers[inInstance];
     subtractPeer(peer);
     peer = {std::move(inLoads), std::move(inRunning), inNow};
+    for (const auto &[digest, load] : peer.loads)
+        peer.promptTokens += load.promptTokens;
     addPeer(peer);
 }
 
@@ -257,8 +272,11 @@
 
 void endpoint_table::setLiveHolders(const std::set<std::string> &inLive)
 {
-    for (auto &[id, target] : mEndpoints)
-        target.holderReady = target.holderReady && inLive.contains(target.holder);
+    for (auto &[id, target] : mEndpoints) {
+        const bool isLive = inLive.contains(target.holder);
+        target.holderReady = target.holderReady && isLive;
+        target.holderGrants = target.holderGrants && isLive;
+    }
 }
 
 void endpoint_table::forgetReports()
@@ -268,10 +286,26 @@
     mPeerRunning.clear();
     for (auto &[id, target] : mEndpoints) {
         target.holderReady = false;
+        target.holderGrants = false;
         target.holderReportAt = {};
     }
 }
 
+void endpoint_table::setEvacuated(const std::string &inFailureDomain, bool inEvacuated)
+{
+    if (inEvacuated)
+        mEvacuated.insert(inFailureDomain);
+    else
+        mEvacuated.erase(inFailureDomain);
+}
+
+bool endpoint_table::hasEvacuated(std::string_view inService) const
+{
+    return !mEvacuated.empty() && std::ranges::any_of(mEndpoints, [&](const auto &inEntry) {
+        return inEntry.second.entry.service == inService && isEvacuated(inEntry.second);
+    });
+}
+
 endpoint *endpoint_table::find(std::string_view inId)
 {
     const auto found = mEndpoints.find(inId);
@@ -322,6 +356,34 @@
     }
 }
 
+void endpoint_table::recordInterval(endpoint_digest inEndpoint, core::duration inInterval,
+                                    core::time_point inNow)
+{
+    const auto found = mByDigest.find(inEndpoint);
+    if (found != mByDigest.end())
+        found->second->pace.observe(inInterval, inNow);
+}
+
+double endpoint_table::relativeTime(const endpoint &inEndpoint, core::time_point inNow) const
+{
+    const auto typical = mTypicalIntervals.find(inEndpoint.entry.service);
+    return typical == mTypicalIntervals.end()
+        ? 1
+        : inEndpoint.pace.relativeTime(typical->second, inNow);
+}
+
+void endpoint_table::updateTypicalIntervals(core::time_point inNow)
+{
+    std::map<std::string, std::vector<core::duration>, std::less<>> intervals;
+    for (const auto &[id, target] : mEndpoints) {
+        if (const auto interval = target.pace.interval(inNow))
+            intervals[target.entry.service].push_back(*interval);
+    }
+    mTypicalIntervals.clear();
+    for (auto &[service, list] : intervals)
+        mTypicalIntervals[service] = typicalInterval(std::move(list));
+}
+
 endpoint_load endpoint_table::totalLoad(const endpoint &inEndpoint) const
 {
     endpoint_load total = inEndpoint.own;
@@ -334,10 +396,35 @@
     return total;
 }
 
+scheduling::service_backlog endpoint_table::backlogOf(std::string_view inService,
+                                                      core::time_point inNow) const
+{
+    scheduling::service_backlog sums;
+    for (const auto &[id, target] : mEndpoints) {
+        if (target.entry.service != inService || !usable(target, inNow))
+            continue;
+        const endpoint_load load = totalLoad(target);
+        ++sums.endpoints;
+        sums.requests += load.requests;
+        sums.promptTokens += load.promptTokens;
+    }
+    // Reports of other services are included: a report's age is that of the connection.
+    double tokens = 0;
+    double age = 0;
+    for (const auto &[instance, peer] : mPeers) {
+        tokens += peer.promptTokens;
+        age += peer.promptTokens * std::chrono::duration<double>(inNow - peer.at).count();
+    }
+    if (tokens > 0)
+        sums.age = std::chrono::duration_cast<core::duration>(
+            std::chrono::duration<double>(age / tokens));
+    return sums;
+}
+
 bool endpoint_table::usable(const endpoint &inEndpoint, core::time_point inNow) const
 {
-    if (inEndpoint.entry.leaving || !inEndpoint.condition.takesRequests(inNow)
-        || inNow < inEndpoint.notBefore)
+    if (inEndpoint.entry.leaving || isEvacuated(inEndpoint)
+        || !inEndpoint.condition.takesRequests(inNow) || inNow < inEndpoint.notBefore)
         return false;
     return !inEndpoint.removed || inNow - inEndpoint.removedAt < sReturnTimeout;
 }
@@ -346,7 +433,7 @@
 {
     std::vector<endpoint *> found;
     for (auto &[id, target] : mEndpoints) {
-        if (target.entry.service == inService)
+        if (target.entry.service == inService && !isEvacuated(target))
             found.push_back(&target);
     }
     return found;
@@ -366,6 +453,7 @@
     });
     mRecentParts.prune(inNow);
     updateTypicalPauses();
+    updateTypicalIntervals(inNow);
     expirePeerLoads(inNow);
 }
 
--- a/corneltally/engines/endpoint_table.h
+++ b/corneltally/engines/endpoint_table.h
@@ -1,13 +1,17 @@
 #pragma once
 
 #include "corneltally/core/boot_clock.h"
+#include "corneltally/engines/cold_change.h"
+#include "corneltally/engines/cold_state.h"
 #include "corneltally/engines/endpoint_condition.h"
 #include "corneltally/engines/endpoint_entry.h"
 #include "corneltally/engines/endpoint_notice.h"
+#include "corneltally/engines/engine_pace.h"
 #include "corneltally/engines/estimate_correction.h"
 #include "corneltally/engines/recent_parts.h"
 #include "corneltally/routing/allowed_domains.h"
 #include "corneltally/scheduling/endpoint_health.h"
+#include "corneltally/scheduling/service_backlog.h"
 
 #include <cstdint>
 #include <functional>
@@ -91,6 +95,8 @@
     std::string holder;
     /// Whether the holder last reported that it may give orders.
     bool holderReady = false;
+    /// Whether the holder may grant permits. Its authority outlasts a new start of the endpoint.
+    bool holderGrants = false;
     core::time_point holderReportAt;
     /// Adapters that wait for a slot, as the holder reported.
     int queued = 0;
@@ -101,6 +107,17 @@
     /// Average over answers of the longest pause between two events while the engine prefilled
     /// another prompt; zero before the first such pause.
     core::duration prefillPause{};
+    cold_state cold;
+    /// When this start of the endpoint became known, or its entry came back, and when the last
+    /// entry was read.
+    core::time_point appearedAt;
+    core::time_point entryAt;
+    /// The holder grants no permit for a request to the cold endpoint before this time.
+    core::time_point permitNotBefore;
+    /// Whether the log says that the endpoint is cold.
+    bool coldReported = false;
+    /// How fast this start of the engine works.
+    engine_pace pace;
 
     bool holdsModel(std::string_view inModel) const;
     void setAdapters(residency inAdapters);
@@ -172,6 +189,15 @@
     /// another prompt caused them.
     void recordPause(endpoint_digest inEndpoint, core::duration inPause);
 
+    /// Records the typical interval between the events of an answer of the endpoint, as this or
+    /// another instance measured it.
+    void recordInterval(endpoint_digest inEndpoint, core::duration inInterval,
+                        core::time_point inNow);
+
+    /// Time that the engine takes for its work relative to the typical one of its service; 1 if
+    /// unknown.
+    double relativeTime(const endpoint &inEndpoint, core::time_point inNow) const;
+
     /// Correction of the estimated times to the first event, by service.
     /// Shared parts of the prompts that this instance sent; see prefixOn().
     recent_parts &recentParts() { return mRecentParts; }
@@ -196,15 +222,67 @@
     /// Discards the reports of other instances and holders, for example after a process pause.
     void forgetReports();
 
+    /// Begins or ends the evacuation of a failure domain. Its endpoints are not usable meanwhile.
+    void setEvacuated(const std::string &inFailureDomain, bool inEvacuated);
+    bool isEvacuated(const endpoint &inEndpoint) const
+    {
+        return mEvacuated.contains(inEndpoint.entry.failureDomain);
+    }
+    /// Whether a service has endpoints in an evacuated failure domain.
+    bool hasEvacuated(std::string_view inService) const;
+
     endpoint *find(std::string_view inId);
     const endpoint *find(std::string_view inId) const;
 
     /// Load of an endpoint over all instances.
     endpoint_load totalLoad(const endpoint &inEndpoint) const;
 
+    /// Sums of the loads of a service's usable endpoints over all instances.
+    scheduling::service_backlog backlogOf(std::string_view inService, core::time_point inNow) const;
+
     /// Whether an endpoint may receive new requests.
     bool usable(const endpoint &inEndpoint, core::time_point inNow) const;
 
+    /// Sets how long endpoints are cold, for the services whose cold endpoints need permits.
+    void setColdTimes(std::map<std::string, core::duration, std::less<>> inColdTimes);
+
+    /// Whether an endpoint is cold, so that a request to it needs a permit.
+    bool isCold(const endpoint &inEndpoint, core::time_point inNow) const;
+
+    /// Whether a permit for a cold endpoint may be asked for.
+    static bool mayAskPermit(const endpoint &inEndpoint, core::time_point inNow);
+
+    /// Applies a remaining cold time from an answer to a request that was sent at inSentAt.
+    void applyColdAnswer(std::string_view inId, std::uint64_t inStartedMs,
+                         core::duration inColdLeft, core::time_point inSentAt,
+                         core::time_point inNow);
+
+    /// An exchange with an endpoint failed such that it may have started again.
+    void expectColdAfterLoss(std::string_view inId, std::uint64_t inStartedMs,
+                             core::time_point inNow);
+
+    /// Marks all endpoints of a failure domain as possibly cold, since they were not observed.
+    void expectCold(std::string_view inFailureDomain, core::time_point inNow);
+
+    /// Applies another instance's ownColdReports(), by digests of starts.
+    void applyPeerCold(const std::map<std::uint64_t, core::duration> &inStarts,
+                       core::time_point inNow);
+
+    /// Remaining cold times that only this instance may know: from its exchanges with endpoints.
+    std::map<std::uint64_t, core::duration> ownColdReports(core::time_point inNow) const;
+
+    /// Asks no permits of a holder before inUntil.
+    void deferPermits(std::string_view inHolder, core::time_point inUntil);
+
+    /// First and last time at which permits may be asked for again that are denied now, for the
+    /// usable cold endpoints of a service; nothing if there are none.
+    std::optional<std::pair<core::time_point, core::time_point>>
+    permitTimes(std::string_view inService, const std::set<std::string> &inExcluded,
+                const routing::allowed_domains &inDomains, core::time_point inNow) const;
+
+    /// Endpoints that became cold or warm since the last call.
+    std::vector<cold_change> takeColdChanges(core::time_point inNow);
+
     /// First and last end of the pauses that the endpoints of a service in the given failure
     /// domains asked for, if there are endpoints that stay and all of them are paused.
     std::optional<std::pair<core::time_point, core::time_point>>
@@ -214,7 +292,8 @@
     /// Endpoints whose pauses have ended since the last call, with the lengths of the pauses.
     std::vector<std::pair<std::string, core::duration>> takeEndedPauses(core::time_point inNow);
 
-    /// Endpoints of a service in the order of their ids.
+    /// Endpoints of a service in the order of their ids, without those in evacuated failure
+    /// domains.
     std::vector<endpoint *> ofService(std::string_view inService);
 
     /// Drops old state and updates the median pauses; call about once a second.
@@ -228,13 +307,20 @@
         std::map<endpoint_digest, endpoint_load> loads;
         std::set<adapter_digest> running;
         core::time_point at;
+        /// Sum over the loads.
+        double promptTokens = 0;
     };
 
     void updateTypicalPauses();
+    std::optional<core::duration> coldTimeOf(const endpoint &inEndpoint) const;
+    void applyColdEntry(endpoint &ioEndpoint, bool inMayHaveStarted, core::time_point inNow) const;
+    void updateTypicalIntervals(core::time_point inNow);
     void addPeer(const peer_loads &inPeer);
     void subtractPeer(const peer_loads &inPeer);
 
     std::map<std::string, endpoint, std::less<>> mEndpoints;
+    /// Evacuated failure domains.
+    std::set<std::string, std::less<>> mEvacuated;
     std::unordered_map<endpoint_digest, endpoint *> mByDigest;
     std::map<std::string, peer_loads, std::less<>> mPeers;
     /// Sums over mPeers, so that the cost of a choice does not grow with the instances.
@@ -246,6 +332,12 @@
     recent_parts mRecentParts;
     /// Median of the engines' prefill pauses, by service.
     std::map<std::string, core::duration, std::less<>> mTypicalPauses;
+    /// Cold times by service.
+    std::map<std::string, core::duration, std::less<>> mColdTimes;
+    /// Whether the last takeColdChanges() left an endpoint reported as cold.
+    bool mColdReported = false;
+    /// Median of the engines' intervals between events, by service.
+    std::map<std::string, core::duration, std::less<>> mTypicalIntervals;
 };
 
 } // namespace corneltally::engines
--- a/corneltally/fleet/mesh_messages.h
+++ b/corneltally/fleet/mesh_messages.h
@@ -62,6 +62,8 @@
     std::vector<answer_pause> pauses;
     quarantine::quarantine_state quarantine;
     std::set<std::uint64_t> leaving;
+    std::map<std::uint64_t, core::duration> cold;
+    std::vector<answer_interval> intervals;
 };
 
 } // namespace corneltally::fleet
--- a/corneltally/fleet/summary_builder.cpp
+++ b/corneltally/fleet/summary_builder.cpp
@@ -1,17 +1,19 @@
 #include "corneltally/fleet/summary_builder.h"
 
+#include <algorithm>
 #include <set>
 
 namespace corneltally::fleet {
 
 void summary_builder::heartbeatReceived(const member &inInstance, const heartbeat &inHeartbeat,
-                                        core::time_point inNow)
+                                        core::time_point inNow, std::uint16_t inProtocol)
 {
     instance_state &state = mInstances[inInstance.instance];
     if (state.description.incarnation != inInstance.incarnation)
         state.totals.clear();
     state.description = inInstance;
     state.last = inHeartbeat;
+    state.protocol = inProtocol;
     for (const limits::account_use &use : inHeartbeat.accountUses) {
         account_total &known = state.totals[use.account];
         if (known.amount == use.amount)
@@ -21,6 +23,7 @@
     mAdapterUses.insert(mAdapterUses.end(), inHeartbeat.adapterUses.begin(),
                         inHeartbeat.adapterUses.end());
     mPauses.insert(mPauses.end(), inHeartbeat.pauses.begin(), inHeartbeat.pauses.end());
+    mIntervals.insert(mIntervals.end(), inHeartbeat.intervals.begin(), inHeartbeat.intervals.end());
 }
 
 void summary_builder::engineStateReceived(const std::string &inHolder, const engine_state &inState)
@@ -40,12 +43,13 @@
                            .heardDomains = std::move(inHeardDomains),
                            .hasAllTotals = mPeriods % sFullPeriod == 0,
                            .adapterUses = mAdapterUses,
-                           .pauses = mPauses};
+                           .pauses = mPauses,
+                           .intervals = mIntervals};
     std::set<engines::adapter_digest> running;
     for (const auto &[name, state] : mInstances) {
         summarized_instance entry{state.description.instance, state.description.machine,
-                                  state.description.address, state.description.incarnation,
-                                  state.last.draining};
+                                  state.description.address,  state.description.incarnation,
+                                  state.last.draining,        state.protocol};
         for (const auto &[account, total] : state.totals) {
             if (summary.hasAllTotals || inNow - total.changedAt <= sChangeRetention)
                 entry.accountUses.push_back({account, total.amount});
@@ -59,6 +63,10 @@
         }
         running.insert(state.last.adaptersRunning.begin(), state.last.adaptersRunning.end());
         summary.quarantine.merge(state.last.quarantine);
+        for (const auto &[start, remaining] : state.last.cold) {
+            core::duration &longest = summary.cold[start];
+            longest = std::max(longest, remaining);
+        }
     }
     summary.adaptersRunning.assign(running.begin(), running.end());
     for (const auto &[endpoint, engine] : mEngines)
@@ -71,6 +79,7 @@
     ++mPeriods;
     mAdapterUses.clear();
     mPauses.clear();
+    mIntervals.clear();
     mEngines.clear();
 }
 
--- a/corneltally/fleet/summary_builder.h
+++ b/corneltally/fleet/summary_builder.h
@@ -29,7 +29,7 @@
 
     /// Replaces the state of an instance of the domain, this one included.
     void heartbeatReceived(const member &inInstance, const heartbeat &inHeartbeat,
-                           core::time_point inNow);
+                           core::time_point inNow, std::uint16_t inProtocol = cProtocol);
 
     /// Drops the state of an instance that is no longer live.
     void instanceLost(const std::string &inInstance) { mInstances.erase(inInstance); }
@@ -54,6 +54,7 @@
     {
         member description;
         heartbeat last;
+        std::uint16_t protocol = cProtocol;
         std::map<std::string, account_total> totals;
     };
 
@@ -61,6 +62,7 @@
     std::map<std::string, instance_state> mInstances;
     std::vector<engines::adapter_digest> mAdapterUses;
     std::vector<answer_pause> mPauses;
+    std::vector<answer_interval> mIntervals;
     std::map<std::string, summarized_engine> mEngines;
     std::uint64_t mPeriods = 0;
 };
--- a/corneltally/forwarding/forward_context.h
+++ b/corneltally/forwarding/forward_context.h
@@ -4,6 +4,8 @@
 #include "corneltally/engines/endpoint_choice.h"
 #include "corneltally/engines/endpoint_table.h"
 #include "corneltally/fleet/fleet_messages.h"
+#include "corneltally/forwarding/overload_control.h"
+#include "corneltally/forwarding/permit_requests.h"
 #include "corneltally/http1/connection_pool.h"
 #include "corneltally/limits/fleet_allowance.h"
 #include "corneltally/limits/fleet_retry_budget.h"
@@ -59,6 +61,8 @@
     /// A stopping instance refuses streams if it has less time left. Typical streams take up to
     /// 6 s.
     core::duration minStreamTime = std::chrono::milliseconds(5000);
+    /// Whether cold endpoints receive requests only with permits.
+    bool limitsCold = false;
     engines::choice_options choice;
 };
 
@@ -83,10 +87,16 @@
     std::vector<engines::adapter_digest> adapterUses;
     /// Longest pause of each answer that ended since the last heartbeat.
     std::vector<fleet::answer_pause> pauses;
+    permit_requests permits;
+    /// Typical interval between the events of each such answer.
+    std::vector<fleet::answer_interval> intervals;
     /// When the requests of this instance are ended; set while it is stopping.
     std::optional<core::time_point> stopAt;
     /// Region of each failure domain, from the settings.
     routing::domain_regions regions = {};
+    /// Whether requests wait before they are sent, see front_options::confirmsEvacuations.
+    bool sendsHeld = false;
+    overload_control overload = overload_control();
 };
 
 } // namespace corneltally::forwarding
--- a/corneltally/forwarding/forwarded_request.cpp
+++ b/corneltally/forwarding/forwarded_request.cpp
@@ -27,8 +27,6 @@
 constexpr core::duration cMisdirectedPause = std::chrono::seconds(2);
 /// Nothing is sent to an unreachable endpoint for this long.
 constexpr core::duration cUnreachablePause = milliseconds(500);
-/// Engines rank requests from 0, the most urgent, to this value.
-constexpr int cMaxUrgency = 9;
 /// Upper bounds of the histogram of times to the first event relative to their estimates.
 constexpr std::array<std::pair<double, std::string_view>, 8> cEstimateRatios{
     {{0.5, "0.5"},
@@ -63,10 +61,12 @@
     , mTable(ioContext.table)
     , mDeadline(ioContext.loop, [this] { deadlineExpired(); })
     , mAdapterTimer(ioContext.loop, [this] { adapterTimerExpired(); })
+    , mPermitTimer(ioContext.loop, [this] { permitTimerExpired(); })
 { }
 
 forwarded_request::~forwarded_request()
 {
+    forgetPermit();
     uncountWaiting();
     uncountLoad();
 }
@@ -206,8 +206,8 @@
 
 void forwarded_request::partsQuarantined()
 {
-    const bool isUnanswered
-        = mState == state::waiting || (mState == state::sent && !mFirstByteAt && !mAnswerStarted);
+    const bool isUnanswered = mState == state::waiting || mState == state::awaiting_permit
+        || (mState == state::sent && !mFirstByteAt && !mAnswerStarted);
     if (!isUnanswered || mIsProbe
         || mContext.quarantine.admit(mPartChain, core::boot_clock::now())
             == quarantine::part_quarantine::admission::allowed)
@@ -219,6 +219,7 @@
             target->health.abandoned();
     }
     cancelAttempt();
+    forgetPermit();
     uncountWaiting();
     admitParts();
 }
@@ -239,9 +240,13 @@
 {
     const core::time_point now = core::boot_clock::now();
     uncountWaiting();
+    forgetPermit();
     mState = state::received;
     if (!admitParts())
         return;
+    mWork.targetTime = mRoute->targetLatency > core::duration::zero()
+        ? std::min<core::duration>(timeLeft(), mRequest.arrived + mRoute->targetLatency - now)
+        : timeLeft();
     const auto named = mContext.namedVersions.find(engines::adapterKey(mWork.model, mWork.adapter));
     mWork.version = named == mContext.namedVersions.end() ? 0 : named->second;
     noteRegionsKept();
@@ -251,16 +256,20 @@
         if (mFailureAnswerStored)
             passFailure();
         else if (mRunState == run_state::not_run)
-            refuseUnserved(regionRefusal());
+            refuseUnserved(unservedReason());
         else
             answerUnknown("no other endpoint can serve the request");
         return;
     }
-    if (choice->estimate > timeLeft() && !mAnswerStarted && mRunState == run_state::not_run) {
+    const bool isWeighed = mContext.overload.isEnabled() && mService->engine && mPriority;
+    if (!isWeighed && choice->estimate > timeLeft() && !mAnswerStarted
+        && mRunState == run_state::not_run) {
         refuseBusy("the estimated wait is longer than the time left");
         return;
     }
     mChoice = *choice;
+    if (isWeighed && !weighOverload(now))
+        return;
     const engines::endpoint &target = *mContext.endpoints.find(mChoice.endpoint);
     mEndpointStart = target.entry.startedMs;
     if (mChoice.state == engines::endpoint_choice::readiness::ready) {
@@ -274,11 +283,14 @@
     sendOrAwaitAdapter();
 }
 
-void forwarded_request::send()
+void forwarded_request::sendNow()
 {
     const core::time_point now = core::boot_clock::now();
-    mAdapterTimer.cancel();
-    uncountWaiting();
+    mHeld = mContext.sendsHeld;
+    if (mHeld) {
+        mState = state::received;
+        return;
+    }
     engines::endpoint &target = *mContext.endpoints.find(mChoice.endpoint);
     mState = state::sent;
     mSentAt = now;
@@ -300,9 +312,7 @@
             std::min(mCallerDeadline, mAnswerDeadline + mContext.settings.answerMargin) - now),
         .endpointId = mChoice.endpoint,
         .account = mAccount,
-        .urgency = mService->engine && mPriority
-            ? std::optional(std::clamp(*mPriority, 0, cMaxUrgency))
-            : std::nullopt,
+        .urgency = urgency(),
         .lastEventId = mLastEventId};
     http1::request_head head = platform::encodeRequest(mRequest.head, terms);
     const bool hasBody = !mRequest.body.empty() || mRequest.head.method != "GET";
@@ -325,7 +335,8 @@
                           },
                       .onHead = [this](const http1::response_head &inHead) { headArrived(inHead); },
                       .onBody = [this](std::string_view inData) { return bodyArrived(inData); },
-                      .onEnd = [this](const http1::exchange_end &inEnd) { exchangeEnded(inEnd); }});
+                      .onEnd = [this](const http1::exchange_end &inEnd) { exchangeEnded(inEnd); }},
+                     mPermitEnd);
 }
 
 /// The endpoint of the current attempt; null if it has restarted since or is gone.
@@ -349,14 +360,17 @@
     target.health.started();
     mLoadCounted = true;
     mPromptCounted = true;
+    countOverload();
 }
 
 /// Updates the longest pause between the events of the stream.
 void forwarded_request::eventsReceived()
 {
     const core::time_point now = core::boot_clock::now();
-    if (mFirstByteAt)
+    if (mFirstByteAt) {
         mLongestPause = std::max(mLongestPause, now - mLastByteAt);
+        mIntervals.add(now - mLastByteAt);
+    }
     mLastByteAt = now;
     firstEventReceived();
     if (!mPartsProved && now - *mFirstByteAt >= cPartProofTime)
@@ -377,6 +391,7 @@
         mFirstByteAt = core::boot_clock::now();
         compareEstimate();
     }
+    uncountOverload(true);
     if (!mPromptCounted)
         return;
     mPromptCounted = false;
@@ -405,6 +420,7 @@
 
 void forwarded_request::uncountLoad()
 {
+    uncountOverload(false);
     if (!mLoadCounted)
         return;
     mLoadCounted = false;
@@ -429,6 +445,13 @@
     using kind = http1::exchange_end::kind;
     if (inEnd.outcome != kind::complete) {
         mUpstream.reset();
+        if (inEnd.outcome == kind::not_begun) {
+            permitUnused();
+            return;
+        }
+        if (!mHeadReceived)
+            mContext.endpoints.expectColdAfterLoss(mChoice.endpoint, mEndpointStart,
+                                                   core::boot_clock::now());
         if (inEnd.sent && inEnd.connectionLost)
             endpointLost();
         attemptEnded(inEnd.sent ? attempt_result::broken : attempt_result::not_sent, inEnd.reason);
@@ -548,6 +571,7 @@
 
 void forwarded_request::deadlineExpired()
 {
+    overloadNotServed();
     if (mAnswerStarted) {
         endUnfinished("the time of the route is over");
         return;
@@ -555,6 +579,10 @@
     if (mState == state::sent) {
         if (engines::endpoint *target = currentTarget())
             target->health.failed(core::boot_clock::now());
+        // A slow answer is no sign of a new start, unlike a connection that was not established.
+        if (mUpstream && !mUpstream->sent())
+            mContext.endpoints.expectColdAfterLoss(mChoice.endpoint, mEndpointStart,
+                                                   core::boot_clock::now());
     }
     endUnfinished("the time is over");
 }
--- a/corneltally/forwarding/forwarded_request.h
+++ b/corneltally/forwarding/forwarded_request.h
@@ -2,15 +2,19 @@
 
 #include "corneltally/core/boot_clock.h"
 #include "corneltally/engines/endpoint_choice.h"
+#include "corneltally/engines/event_intervals.h"
+#include "corneltally/fleet/fleet_messages.h"
 #include "corneltally/forwarding/attempt_rules.h"
 #include "corneltally/forwarding/event_splitter.h"
 #include "corneltally/http1/client_connection.h"
 #include "corneltally/http1/server_connection.h"
 #include "corneltally/kernel/timer.h"
+#include "corneltally/limits/permit_term.h"
 #include "corneltally/quarantine/shared_part.h"
 #include "corneltally/routing/region_restriction.h"
 #include "corneltally/routing/request_terms.h"
 #include "corneltally/routing/routing_table.h"
+#include "corneltally/scheduling/overload_policy.h"
 
 #include <functional>
 #include <memory>
@@ -44,23 +48,37 @@
     void callerDrained();
 
     /// Called when the known state of an endpoint changed. Only a request that waits for an adapter
-    /// there reacts.
+    /// or a permit there reacts.
     void endpointChanged(std::string_view inEndpoint);
 
     /// Called when parts were quarantined. Ends the request if it has one of them and no event was
     /// received.
     void partsQuarantined();
 
+    /// Called when a failure domain was evacuated. A request that is for one of its endpoints, and
+    /// was not yet sent, chooses again.
+    void leaveEvacuated();
+
+    /// Called when no request may be sent for now. One that is being sent, but of which nothing was
+    /// sent yet, waits for sendHeld().
+    void holdUnsent();
+    /// Called when requests may be sent again. A request that waits for it chooses again.
+    void sendHeld();
+
     /// Ends the request because the instance is about to exit.
     void endForStop();
 
     bool isWaitingFor(std::string_view inEndpoint) const
     {
-        return mState == state::waiting && mChoice.endpoint == inEndpoint;
+        return (mState == state::waiting || mState == state::awaiting_permit)
+            && mChoice.endpoint == inEndpoint;
     }
 
 private:
-    enum class state { received, waiting, sent, answering, done };
+    /// Engines rank requests from 0, the most urgent, to this value.
+    static constexpr int cMaxUrgency = 9;
+
+    enum class state { received, waiting, awaiting_permit, sent, answering, done };
 
     bool resolveRoute();
     bool admit();
@@ -69,11 +87,17 @@
     void restrictRegions(const routing::client_account *inAccount);
     void noteRegionsKept();
     bool mayReceive(const engines::endpoint &inTarget) const;
-    std::string_view regionRefusal() const;
+    std::string_view unservedReason() const;
     void chooseAndSend();
     void sendOrAwaitAdapter();
     void requestAdapterLoad();
     void send();
+    void sendNow();
+    void permitReplied(const fleet::permit_reply &inReply);
+    void permitTimerExpired();
+    void permitExpired(std::string_view inOutcome);
+    void permitUnused();
+    void forgetPermit();
     void attemptEnded(attempt_result inResult, std::string_view inReason);
     void headArrived(const http1::response_head &inHead);
     bool bodyArrived(std::string_view inData);
@@ -99,6 +123,8 @@
     bool isAdapterResident() const;
     void finish(int inStatus, std::string_view inOutcome, std::string_view inReason);
     void cancelAttempt();
+    bool isUnsent() const;
+    void recallUnsent();
     void abortAnswer(std::string_view inReason);
     void countWaiting(engines::endpoint &ioTarget);
     void uncountWaiting();
@@ -106,11 +132,18 @@
     void countLoad();
     void uncountLoad();
     void recordPause(const engines::endpoint &inTarget);
+    void recordInterval(const engines::endpoint &inTarget);
     void eventsReceived();
     void firstEventReceived();
     void compareEstimate();
     core::duration timeLeft() const;
     core::duration retryAfter() const;
+    scheduling::overload_request overloadRequest(core::time_point inNow) const;
+    bool weighOverload(core::time_point inNow);
+    std::optional<int> urgency() const;
+    void countOverload();
+    void uncountOverload(bool inBegun);
+    void overloadNotServed();
 
     forward_context &mContext;
     http1::server_connection &mCaller;
@@ -134,16 +167,28 @@
     /// Whether the request tests a part in quarantine.
     bool mIsProbe = false;
     engines::endpoint_choice mChoice;
+    /// The latest decision of the overload policy, if it is in force for the service.
+    std::optional<scheduling::overload_decision> mOverload;
+    /// Urgency with which the prompt is counted as waiting by the overload policy.
+    std::optional<int> mCountedUrgency;
     std::uint64_t mEndpointStart = 0;
     kernel::timer mDeadline;
     kernel::timer mAdapterTimer;
+    kernel::timer mPermitTimer;
     core::time_point mAnswerDeadline;
     core::time_point mCallerDeadline;
     core::time_point mWaitingSince;
     core::time_point mSentAt;
+    std::uint64_t mPermitNumber = 0;
+    int mPermitsNotReceived = 0;
+    int mPermitsDenied = 0;
+    limits::permit_term mPermitTerm{core::time_point()};
+    /// Until when the permit of the current attempt may be used; empty if it needs none.
+    std::optional<core::time_point> mPermitEnd;
     std::optional<core::time_point> mFirstByteAt;
     core::time_point mLastByteAt;
     core::duration mLongestPause{};
+    engines::event_intervals mIntervals;
     std::unique_ptr<http1::client_connection> mUpstream;
     http1::response_head mHead;
     std::string mBody;
@@ -164,6 +209,8 @@
     bool mAnswerStarted = false;
     bool mBuffersAnswer = false;
     double mChargedAmount = 0;
+    /// Whether the request waits until requests may be sent again.
+    bool mHeld = false;
     bool mWaitingCounted = false;
     bool mLoadCounted = false;
     bool mPromptCounted = false;
--- a/corneltally/forwarding/forwarded_request_answer.cpp
+++ b/corneltally/forwarding/forwarded_request_answer.cpp
@@ -69,6 +69,9 @@
     const engines::endpoint_noticed noticed{mChoice.endpoint, mEndpointStart,
                                             platform::decodeNotice(inHead.status, inHead.fields)};
     mAnswerAsksPause = noticed.notice.pause.has_value();
+    if (mAnswer.coldLeft)
+        mContext.endpoints.applyColdAnswer(mChoice.endpoint, mEndpointStart, *mAnswer.coldLeft,
+                                           mSentAt, core::boot_clock::now());
     if (mContext.endpoints.applyNotice(noticed.endpoint, noticed.startedMs, noticed.notice,
                                        core::boot_clock::now()))
         mContext.registry.broadcast(noticed);
@@ -144,6 +147,7 @@
     if (engines::endpoint *target = currentTarget()) {
         target->health.succeeded(*mFirstByteAt - mSentAt, now);
         recordPause(*target);
+        recordInterval(*target);
     }
     partsProved();
     uncountLoad();
@@ -172,6 +176,17 @@
         {inTarget.digest, std::chrono::duration_cast<milliseconds>(mLongestPause)});
 }
 
+/// Records how fast the endpoint generated the answer, here and for the next heartbeat.
+void forwarded_request::recordInterval(const engines::endpoint &inTarget)
+{
+    const auto interval = mIntervals.lowerQuartile();
+    if (mSendCount > 1 || !mService->engine || !interval)
+        return;
+    mContext.endpoints.recordInterval(inTarget.digest, *interval, core::boot_clock::now());
+    mContext.intervals.push_back(
+        {inTarget.digest, std::chrono::duration_cast<std::chrono::microseconds>(*interval)});
+}
+
 /// Forwards the failure that an endpoint answered.
 void forwarded_request::passFailure()
 {
@@ -226,23 +241,28 @@
     refuse(503, inReason, retryAfter());
 }
 
-/// Refuses the request since no endpoint takes it now. If all of them asked for a pause, the caller
-/// is told when they come back.
+/// Refuses the request since no endpoint takes it now. If those that are left are cold, or all
+/// asked for a pause, the caller is told when they come back.
 void forwarded_request::refuseUnserved(std::string_view inReason)
 {
     const core::time_point now = core::boot_clock::now();
-    const auto ends = mContext.endpoints.pauseEnds(mService->name, now, mWork.domains);
+    const auto permits
+        = mContext.endpoints.permitTimes(mService->name, mWork.excluded, mWork.domains, now);
+    const auto ends
+        = permits ? permits : mContext.endpoints.pauseEnds(mService->name, now, mWork.domains);
     if (!ends) {
         refuseBusy(inReason);
         return;
     }
+    if (permits)
+        mContext.metrics.count("requests_without_permit_total");
     // Callers return spread over the time in which the endpoints do.
     const core::duration first = ends->first - now;
     const core::duration spread = ends->second - ends->first;
     const core::duration own = retryAfter();
     const double fraction = std::chrono::duration<double>(own - mContext.settings.minRetryAfter)
         / std::chrono::duration<double>(mContext.settings.retryAfterSpread);
-    refuse(503, "all endpoints asked for a pause",
+    refuse(503, permits ? "the endpoints are cold" : "all endpoints asked for a pause",
            first + std::chrono::duration_cast<core::duration>(spread * fraction) + own);
 }
 
@@ -267,37 +287,42 @@
     uncountWaiting();
     mDeadline.cancel();
     mAdapterTimer.cancel();
+    forgetPermit();
     mContext.metrics.count("requests_total{outcome=\"" + std::string(inOutcome) + "\"}");
     mContext.metrics.observe("request_seconds", now - mRequest.arrived);
     if (mFirstByteAt)
         mContext.metrics.observe("first_byte_seconds", *mFirstByteAt - mRequest.arrived);
     const engines::endpoint *target = mContext.endpoints.find(mChoice.endpoint);
-    core::logEvent(core::log_level::info, "request",
-                   {{"request", mTerms.requestId},
-                    {"route", mRoute != nullptr ? mRoute->name : std::string()},
-                    {"account", mAccount},
-                    {"regions", mRegions.toText()},
-                    {"kept_by", mKeptInRegions ? mRegions.source() : std::string_view()},
-                    {"configuration", mTable ? mTable->version() : 0},
-                    {"endpoint", mChoice.endpoint},
-                    {"adapter", mWork.adapter},
-                    {"parts", engines::sharedPartIds(mWork)},
-                    {"sends", mSendCount},
-                    {"loads", mLoadsRequested},
-                    {"status", inStatus},
-                    {"outcome", inOutcome},
-                    {"reason", inReason},
-                    {"run", toString(mRunState)},
-                    {"estimate_ms", inMs(mChoice.estimate)},
-                    {"report_age_ms",
-                     target != nullptr && target->holderReportAt != core::time_point()
-                         ? inMs(now - target->holderReportAt)
-                         : -1},
-                    {"sent_ms", mSendCount > 0 ? inMs(mSentAt - mRequest.arrived) : -1},
-                    {"adapter_state", toString(mChoice.state)},
-                    {"longest_pause_ms", inMs(mLongestPause)},
-                    {"first_ms", mFirstByteAt ? inMs(*mFirstByteAt - mRequest.arrived) : -1},
-                    {"ms", inMs(now - mRequest.arrived)}});
+    core::logEvent(
+        core::log_level::info, "request",
+        {{"request", mTerms.requestId},
+         {"route", mRoute != nullptr ? mRoute->name : std::string()},
+         {"account", mAccount},
+         {"regions", mRegions.toText()},
+         {"kept_by", mKeptInRegions ? mRegions.source() : std::string_view()},
+         {"configuration", mTable ? mTable->version() : 0},
+         {"endpoint", mChoice.endpoint},
+         {"adapter", mWork.adapter},
+         {"parts", engines::sharedPartIds(mWork)},
+         {"sends", mSendCount},
+         {"loads", mLoadsRequested},
+         {"status", inStatus},
+         {"outcome", inOutcome},
+         {"reason", inReason},
+         {"run", toString(mRunState)},
+         {"estimate_ms", inMs(mChoice.estimate)},
+         {"report_age_ms",
+          target != nullptr && target->holderReportAt != core::time_point()
+              ? inMs(now - target->holderReportAt)
+              : -1},
+         {"sent_ms", mSendCount > 0 ? inMs(mSentAt - mRequest.arrived) : -1},
+         {"adapter_state", toString(mChoice.state)},
+         {"overload_rule", mOverload ? toString(mOverload->decidedBy) : "off"},
+         {"urgency", mOverload ? mOverload->urgency : -1},
+         {"longest_pause_ms", inMs(mLongestPause)},
+         {"relative_time", target != nullptr ? mContext.endpoints.relativeTime(*target, now) : 1},
+         {"first_ms", mFirstByteAt ? inMs(*mFirstByteAt - mRequest.arrived) : -1},
+         {"ms", inMs(now - mRequest.arrived)}});
     const auto done = mDone;
     done();
 }
--- a/corneltally/forwarding/forwarded_request_regions.cpp
+++ b/corneltally/forwarding/forwarded_request_regions.cpp
@@ -34,10 +34,12 @@
 }
 
 /// Reason for the refusal of a request that no endpoint can serve.
-std::string_view forwarded_request::regionRefusal() const
+std::string_view forwarded_request::unservedReason() const
 {
     if (!mRegions.isRestricted())
-        return "no endpoint can serve the request";
+        return mContext.endpoints.hasEvacuated(mService->name)
+            ? "no endpoint outside the evacuated failure domains can serve the request"
+            : "no endpoint can serve the request";
     if (mRegions.isEmpty())
         return "the restrictions of the route and the account allow no region";
     return "no endpoint in an allowed region can serve the request";
--- a/corneltally/forwarding/front_service.cpp
+++ b/corneltally/forwarding/front_service.cpp
@@ -2,6 +2,7 @@
 
 #include "corneltally/core/json_log.h"
 #include "corneltally/core/metrics.h"
+#include "corneltally/engines/endpoint_exchange.h"
 #include "corneltally/forwarding/forwarded_request.h"
 #include "corneltally/http1/client_connection.h"
 #include "corneltally/kernel/event_loop.h"
@@ -40,12 +41,20 @@
                .quarantine = quarantine::part_quarantine(mOptions.instance),
                .namedVersions = {},
                .adapterUses = {},
+               .pauses = {},
+               .permits = {},
                .stopAt = {},
-               .regions = mOptions.regions}
+               .regions = mOptions.regions,
+               .sendsHeld = false,
+               .overload
+               = overload_control(mOptions.weighsOverload,
+                                  {.promptTokensPerMs = mOptions.settings.choice.promptTokensPerMs
+                                       / (1 + mOptions.settings.choice.stepOverhead)})}
     , mPruneTimer(ioRegistry.loop(), [this] { prune(); })
     , mListener(ioRegistry.loop(), [this](int inSocket) { accept(inSocket); })
     , mBodyBudget(std::make_shared<http1::body_budget>(mOptions.bodyBudgetBytes))
     , mEarlyTimer(ioRegistry.loop(), [this] { beginEarlyRequests(); })
+    , mHoldTimer(ioRegistry.loop(), [this] { releaseSends(false); })
 {
     ioRegistry.handle<catalog::configuration_changed>(
         cName, [this](const catalog::configuration_changed &inChanged) {
@@ -80,12 +89,34 @@
             mContext.endpoints.keepOnly(inListed.ids, inListed.mayReturn, core::boot_clock::now());
             mEndpointsListed = true;
         });
+    ioRegistry.handle<catalog::evacuation_changed>(
+        cName,
+        [this](const catalog::evacuation_changed &inChanged) { evacuationChanged(inChanged); });
+    ioRegistry.handle<catalog::operator_records_confirmed>(
+        cName, [this](const catalog::operator_records_confirmed &inConfirmed) {
+            if (mContext.sendsHeld && inConfirmed.asOf >= mHeldSince)
+                releaseSends(true);
+        });
     ioRegistry.handle<engines::endpoint_noticed>(
         cName, [this](const engines::endpoint_noticed &inNoticed) { endpointNoticed(inNoticed); });
     ioRegistry.handle<orders::held_engine_changed>(
         cName, [this](const orders::held_engine_changed &inChanged) {
             engineStateReceived(mOptions.instance, inChanged.state);
         });
+    ioRegistry.handle<engines::endpoint_exchange>(
+        cName, [this](const engines::endpoint_exchange &inExchange) {
+            const core::time_point now = core::boot_clock::now();
+            if (inExchange.coldLeft)
+                mContext.endpoints.applyColdAnswer(inExchange.endpoint, inExchange.startedMs,
+                                                   *inExchange.coldLeft, inExchange.sentAt, now);
+            else
+                mContext.endpoints.expectColdAfterLoss(inExchange.endpoint, inExchange.startedMs,
+                                                       now);
+        });
+    ioRegistry.handle<orders::local_permit_reply>(
+        cName, [this](const orders::local_permit_reply &inLocal) {
+            mContext.permits.replied(inLocal.reply);
+        });
     ioRegistry.handle<fleet::mesh_received>(
         cName, [this](const fleet::mesh_received &inReceived) { meshReceived(inReceived); });
     ioRegistry.handle<fleet::domain_summary_received>(
@@ -251,6 +282,12 @@
         mContext.allowance.configure(account.name, account.ratePerSecond, account.burst, now);
     }
     mContext.allowance.retainAccounts(names);
+    std::map<std::string, core::duration, std::less<>> coldTimes;
+    for (const routing::service &service : inChanged.table->source().services) {
+        if (mContext.settings.limitsCold && service.coldPerSecond > 0)
+            coldTimes.emplace(service.name, service.coldTime);
+    }
+    mContext.endpoints.setColdTimes(std::move(coldTimes));
     for (auto &[id, entry] : mCallers)
         entry.connection->setLimits(inChanged.table->source().limits);
     updateUnservedRestrictions();
@@ -343,6 +380,27 @@
                        {{"endpoint", id}, {"pause_ms", length.count() / 1000}});
 }
 
+/// Logs which endpoints became cold or warm since the last call.
+void front_service::reportCold()
+{
+    const core::time_point now = core::boot_clock::now();
+    const auto inMs = [](core::duration inDuration) {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(inDuration).count();
+    };
+    for (const engines::cold_change &change : mContext.endpoints.takeColdChanges(now)) {
+        mColdEndpoints += change.cold ? 1 : -1;
+        core::logEvent(core::log_level::info, change.cold ? "endpoint_cold" : "endpoint_warm",
+                       {{"endpoint", change.endpoint},
+                        {"source", toString(change.source)},
+                        {"age_ms", inMs(change.age)},
+                        {"cold_ms", inMs(change.remaining)}});
+        if (change.cold)
+            mContext.metrics.count("endpoints_cold_total{source=\""
+                                   + std::string(toString(change.source)) + "\"}");
+        mContext.metrics.setGauge("cold_endpoints", mColdEndpoints);
+    }
+}
+
 void front_service::engineStateReceived(const std::string &inHolder,
                                         const fleet::engine_state &inState)
 {
@@ -363,11 +421,16 @@
             {beat->adaptersRunning.begin(), beat->adaptersRunning.end()}, now);
         for (const fleet::answer_pause &seen : beat->pauses)
             mContext.endpoints.recordPause(seen.endpoint, seen.pause);
+        for (const fleet::answer_interval &seen : beat->intervals)
+            mContext.endpoints.recordInterval(seen.endpoint, seen.interval, now);
         mContext.allowance.applyPeerTotals(inReceived.instance, inReceived.incarnation,
                                            beat->accountUses, true, now);
         quarantineReported(beat->quarantine);
         peerSaysLeaving(inReceived.instance, beat->leaving);
+        mContext.endpoints.applyPeerCold(beat->cold, now);
         messageReceived();
+    } else if (const auto *reply = std::get_if<fleet::permit_reply>(&inReceived.body)) {
+        mContext.permits.replied(*reply);
     }
 }
 
@@ -379,6 +442,8 @@
         {inSummary.adaptersRunning.begin(), inSummary.adaptersRunning.end()}, now);
     for (const fleet::answer_pause &seen : inSummary.pauses)
         mContext.endpoints.recordPause(seen.endpoint, seen.pause);
+    for (const fleet::answer_interval &seen : inSummary.intervals)
+        mContext.endpoints.recordInterval(seen.endpoint, seen.interval, now);
     for (const fleet::summarized_instance &instance : inSummary.instances) {
         if (instance.instance != mOptions.instance)
             mContext.allowance.applyPeerTotals(instance.instance, instance.incarnation,
@@ -387,6 +452,7 @@
     for (const fleet::summarized_engine &engine : inSummary.engines)
         engineStateReceived(engine.holder, engine.state);
     quarantineReported(inSummary.quarantine);
+    mContext.endpoints.applyPeerCold(inSummary.cold, now);
     messageReceived();
 }
 
@@ -448,6 +514,9 @@
     }
     part.adapterUses = std::exchange(mContext.adapterUses, {});
     part.pauses = std::exchange(mContext.pauses, {});
+    part.cold = mContext.endpoints.ownColdReports(core::boot_clock::now());
+    reportCold();
+    part.intervals = std::exchange(mContext.intervals, {});
     updateQuarantine();
     part.quarantine = mContext.quarantine.report();
     mContext.registry.post("orders",
@@ -484,6 +553,8 @@
 {
     mContext.endpoints.forgetReports();
     mContext.allowance.resetAfterPause(core::boot_clock::now());
+    if (mOptions.confirmsEvacuations)
+        holdSends();
 }
 
 std::string front_service::dump() const
@@ -499,6 +570,10 @@
         text.append("\",\"holder\":\"").append(core::jsonEscape(target.holder));
         text.append("\",\"ready\":").append(target.holderReady ? "true" : "false");
         text.append(",\"leaving\":").append(target.entry.leaving ? "true" : "false");
+        text.append(",\"evacuated\":")
+            .append(mContext.endpoints.isEvacuated(target) ? "true" : "false");
+        text.append(",\"cold\":")
+            .append(mContext.endpoints.isCold(target, core::boot_clock::now()) ? "true" : "false");
         text.append(",\"removed\":").append(target.removed ? "true" : "false");
         text.append(",\"requests\":").append(std::to_string(target.own.requests));
         text.append(",\"resident\":").append(std::to_string(target.adapters.resident.size()));
--- a/corneltally/orders/order_service.cpp
+++ b/corneltally/orders/order_service.cpp
@@ -97,6 +97,14 @@
         });
     mRegistry.handle<catalog::adapter_version_named>(
         cName, [this](const catalog::adapter_version_named &inNamed) { versionNamed(inNamed); });
+    mRegistry.handle<catalog::evacuation_changed>(
+        cName,
+        [this](const catalog::evacuation_changed &inChanged) { evacuationChanged(inChanged); });
+    mRegistry.handle<catalog::operator_records_confirmed>(
+        cName, [this](const catalog::operator_records_confirmed &inConfirmed) {
+            if (mUnconfirmedSince && inConfirmed.asOf >= *mUnconfirmedSince)
+                mUnconfirmedSince.reset();
+        });
     mRegistry.handle<catalog::endpoint_changed>(
         cName,
         [this](const catalog::endpoint_changed &inChanged) { endpointChanged(inChanged.entry); });
@@ -141,10 +149,18 @@
             if (beat->receiverLive)
                 mClaims.reportedLiveBy(inReceived.instance, core::boot_clock::now());
             adaptersUsed(inReceived.instance, beat->adapterUses, beat->adaptersRunning);
+        } else if (const auto *permit = std::get_if<fleet::permit_wanted>(&inReceived.body)) {
+            mRegistry.post("mesh",
+                           fleet::mesh_send{inReceived.instance,
+                                            permitRequested(*permit, inReceived.instance)});
         }
     });
+    mRegistry.handle<local_permit_wanted>(cName, [this](const local_permit_wanted &inLocal) {
+        mRegistry.post("front",
+                       local_permit_reply{permitRequested(inLocal.wanted, mOptions.self.instance)});
+    });
     mRegistry.handle<local_load_wanted>(
-        cName, [this](const local_load_wanted &inLocal) { loadRequested(inLocal.wanted, "self"); });
+        cName, [this](const local_load_wanted &inLocal) { loadRequested(inLocal.wanted, cLocal); });
     mRegistry.handle<local_adapter_missing>(
         cName, [this](const local_adapter_missing &inLocal) { adapterMissing(inLocal.missing); });
     mRegistry.handle<local_adapter_uses>(cName, [this](const local_adapter_uses &inLocal) {
@@ -164,6 +180,8 @@
 {
     // The claims from before the pause may be outdated; the next read confirms them.
     mClaims.invalidateRead();
+    if (mOptions.confirmsEvacuations)
+        mUnconfirmedSince = core::boot_clock::now();
     mRegistry.post("catalog", catalog::fleet_topic_poll{});
     for (auto &[engine, state] : mHeld)
         publish(engine, state, core::boot_clock::now());
@@ -199,7 +217,9 @@
     mTopicLoaded = true;
     for (const auto &[engine, domain] : knownEngines()) {
         const bool holds = mClaims.holds(engine);
-        if (holds && !mHeld.contains(engine)) {
+        if (holds && coldServiceOf(engine) != nullptr)
+            mHeldCold.insert(engine);
+        if (holds && !mHeld.contains(engine) && profileOf(mEntries.at(engine)) != nullptr) {
             mHeld.emplace(engine, held_engine{engine_controller(engine, mOptions.controller)});
             configureEngine(engine);
         } else if (!holds) {
@@ -219,7 +239,7 @@
 {
     std::vector<fleet::fleet_node> engines;
     for (const auto &[id, entry] : mEntries) {
-        if (profileOf(entry) != nullptr)
+        if (profileOf(entry) != nullptr || coldServiceOf(id) != nullptr)
             engines.push_back({id, entry.failureDomain});
     }
     return engines;
@@ -346,6 +366,10 @@
                        {{"endpoint", inWanted.endpoint}, {"from", inFrom}});
         return;
     }
+    if (isEvacuated(found->second)) {
+        declineLoad(inWanted, std::string(inFrom));
+        return;
+    }
     found->second.controller.adapterRequested(inWanted.model, inWanted.adapter, inWanted.version,
                                               inWanted.tokens, now);
     advanceEngine(inWanted.endpoint, found->second, now);
@@ -428,6 +452,7 @@
     const core::time_point now = core::boot_clock::now();
     updatePollWait(now);
     claimEngines(now);
+    advancePermits(now);
     for (auto &[engine, state] : mHeld) {
         advanceEngine(engine, state, now);
         const engines::endpoint_condition *condition
@@ -462,6 +487,8 @@
 load_state order_service::loadStateOf(const std::string &inEngine, core::time_point inNow) const
 {
     load_state loads{.arrivingElsewhere = arrivingElsewhere(inEngine, inNow)};
+    if (mOptions.learnsLoadTime)
+        loads.slowness = mLoadSlowness.factor();
     loads.fullSpeedLoads = std::max(cMinParallelLoads,
                                     cParallelLoadsPerEngine * static_cast<double>(mEntries.size()));
     int own = 0;
@@ -477,6 +504,7 @@
                                   core::time_point inNow)
 {
     ioHeld.controller.advance(inNow);
+    mLoadSlowness.record(ioHeld.controller.takeLoadOutcomes());
     if (mClaims.mayOrder(inEngine, inNow) && takesOrders(inEngine, ioHeld, inNow)) {
         ioHeld.controller.setLoadState(loadStateOf(inEngine, inNow));
         if (const auto order = ioHeld.controller.nextOrder(inNow))
@@ -495,7 +523,7 @@
     mFetcher.fetch(platform::orderRequest(entry.address, inEngine, order),
                    [this, inEngine, inOrder, sentAt,
                     startedMs = entry.startedMs](const http1::fetch_result &inResult) {
-                       answerReceived(inEngine, startedMs, inResult);
+                       answerReceived(inEngine, startedMs, sentAt, inResult);
                        orderEnded(inEngine, inOrder, platform::decodeOrderOutcome(inResult),
                                   sentAt);
                    });
@@ -527,9 +555,9 @@
 {
     ioHeld.controller.reportStarted(inNow);
     mFetcher.fetch(platform::reportRequest(ioHeld.controller.entry().address),
-                   [this, inEngine, startedMs = ioHeld.controller.entry().startedMs](
+                   [this, inEngine, inNow, startedMs = ioHeld.controller.entry().startedMs](
                        const http1::fetch_result &inResult) {
-                       answerReceived(inEngine, startedMs, inResult);
+                       answerReceived(inEngine, startedMs, inNow, inResult);
                        const auto found = mHeld.find(inEngine);
                        if (found == mHeld.end())
                            return;
@@ -546,12 +574,14 @@
 }
 
 void order_service::answerReceived(const std::string &inEngine, std::uint64_t inStartedMs,
-                                   const http1::fetch_result &inResult)
+                                   core::time_point inSentAt, const http1::fetch_result &inResult)
 {
     const engines::endpoint_noticed noticed{
         inEngine, inStartedMs, platform::decodeNotice(inResult.status, inResult.fields)};
     // A report may come from another start of the engine, or from another engine at its address.
     const auto report = platform::decodeReport(inResult);
+    if (!report || report->startedMs == inStartedMs)
+        reportCold(inEngine, inStartedMs, inSentAt, inResult);
     if (noticed.notice == engines::endpoint_notice()
         || (report && report->startedMs != inStartedMs))
         return;
@@ -585,6 +615,8 @@
 bool order_service::takesOrders(const std::string &inEngine, const held_engine &inHeld,
                                 core::time_point inNow) const
 {
+    if (isEvacuated(inHeld) || awaitsConfirmation(inNow))
+        return false;
     const engines::endpoint_condition *condition
         = conditionOf(inEngine, inHeld.controller.entry().startedMs);
     return condition == nullptr || condition->takesRequests(inNow);
--- a/corneltally/orders/order_service.h
+++ b/corneltally/orders/order_service.h
@@ -1,12 +1,14 @@
 #pragma once
 
 #include "corneltally/catalog/catalog_messages.h"
+#include "corneltally/catalog/evacuation_messages.h"
 #include "corneltally/engines/endpoint_condition.h"
 #include "corneltally/fleet/holder_claims.h"
 #include "corneltally/fleet/mesh_messages.h"
 #include "corneltally/http1/fetcher.h"
 #include "corneltally/kernel/service.h"
 #include "corneltally/kernel/timer.h"
+#include "corneltally/orders/cold_permits.h"
 #include "corneltally/orders/engine_controller.h"
 #include "corneltally/orders/order_messages.h"
 
@@ -35,6 +37,15 @@
     std::string failureDomain;
     fleet::claim_options claims;
     controller_options controller;
+    /// Whether the time of loads is learned from those that turn out to be late.
+    bool learnsLoadTime = false;
+    /// Requests that a cold endpoint may receive in a second: a multiple of what it sustains, and
+    /// additional ones. Without the factor no permits are needed.
+    double coldOver = 0;
+    double coldSlack = 0;
+    /// Whether no order is given after a process pause until the operator records were read again,
+    /// since a failure domain may have been evacuated meanwhile.
+    bool confirmsEvacuations = false;
 };
 
 /// Claims engines, gives orders to the engines that this instance holds, and reports their adapters
@@ -43,6 +54,8 @@
 {
 public:
     static constexpr std::string_view cName = "orders";
+    /// Sender of the requests for loads that come from this instance.
+    static constexpr std::string_view cLocal = "self";
 
     order_service(kernel::service_registry &ioRegistry, core::metrics &ioMetrics,
                   order_options inOptions);
@@ -69,6 +82,10 @@
         core::time_point notedAt;
     };
 
+    void evacuationChanged(const catalog::evacuation_changed &inChanged);
+    bool isEvacuated(const held_engine &inHeld) const;
+    bool awaitsConfirmation(core::time_point inNow) const;
+    void declineLoad(const fleet::load_wanted &inWanted, const std::string &inFrom);
     void topicUpdated(const catalog::fleet_topic_updated &inUpdate);
     void endpointChanged(const engines::endpoint_entry &inEntry);
     void endpointRemoved(const std::string &inId);
@@ -98,13 +115,21 @@
     void requestReport(const std::string &inEngine, held_engine &ioHeld, core::time_point inNow);
     void publish(const std::string &inEngine, held_engine &ioHeld, core::time_point inNow);
     void answerReceived(const std::string &inEngine, std::uint64_t inStartedMs,
-                        const http1::fetch_result &inResult);
+                        core::time_point inSentAt, const http1::fetch_result &inResult);
+    void reportCold(const std::string &inEngine, std::uint64_t inStartedMs,
+                    core::time_point inSentAt, const http1::fetch_result &inResult);
     void endpointNoticed(const engines::endpoint_noticed &inNoticed);
     const engines::endpoint_condition *conditionOf(const std::string &inEngine,
                                                    std::uint64_t inStartedMs) const;
     bool takesOrders(const std::string &inEngine, const held_engine &inHeld,
                      core::time_point inNow) const;
     std::vector<fleet::fleet_node> knownEngines() const;
+    fleet::permit_reply permitRequested(const fleet::permit_wanted &inWanted,
+                                        const std::string &inFrom);
+    void advancePermits(core::time_point inNow);
+    const routing::service *coldServiceOf(const std::string &inEndpoint) const;
+    cold_permits::authority authorityOver(const std::string &inEndpoint,
+                                          core::time_point inNow) const;
     const routing::engine_profile *profileOf(const engines::endpoint_entry &inEntry) const;
 
     kernel::service_registry &mRegistry;
@@ -116,10 +141,21 @@
     std::shared_ptr<const routing::routing_table> mTable;
     std::map<std::string, engines::endpoint_entry> mEntries;
     std::map<std::string, held_engine> mHeld;
+    /// Endpoints that this instance holds whose service limits requests to cold ones.
+    std::set<std::string> mHeldCold;
+    cold_permits mPermits;
+    /// States of plain endpoints that this instance holds, and when they were sent.
+    std::map<std::string, std::pair<fleet::engine_state, core::time_point>> mPlainStates;
     /// Conditions of engines that said something. They outlast the engines' entries, which may
     /// lapse and come back.
     std::map<std::string, noted_condition> mConditions;
     std::map<std::string, std::uint64_t> mNamedVersions;
+    /// Evacuated failure domains, whose engines get no orders.
+    std::set<std::string> mEvacuated;
+    /// When the process was paused, until a later read of the operator records.
+    std::optional<core::time_point> mUnconfirmedSince;
+    /// Learned from the loads of all engines that this instance holds.
+    load_slowness mLoadSlowness;
     std::vector<fleet::live_candidate> mLive;
     /// Adapters of the engines that other instances hold, by engine.
     std::map<std::string, engines::residency> mRemoteAdapters;
--- a/corneltally/routing/configuration_difference.cpp
+++ b/corneltally/routing/configuration_difference.cpp
@@ -80,8 +80,11 @@
 
 properties propertiesOf(const service &inService)
 {
-    properties found{{"connections for each endpoint", std::to_string(inService.maxConnections)},
-                     {"engines", toText(inService.engine.has_value())}};
+    properties found{
+        {"connections for each endpoint", std::to_string(inService.maxConnections)},
+        {"cold time", toText(std::chrono::duration<double>(inService.coldTime).count()) + " s"},
+        {"requests per second while cold", toText(inService.coldPerSecond)},
+        {"engines", toText(inService.engine.has_value())}};
     const engine_profile engine = inService.engine.value_or(engine_profile());
     std::string models;
     for (const base_model &model : engine.models)
--- a/corneltally/settings/forwarding_settings.h
+++ b/corneltally/settings/forwarding_settings.h
@@ -36,6 +36,9 @@
     /// Minimum time between the last order of an engine's holder and the first order of the next
     /// holder.
     std::int64_t holderPauseMs = 3000;
+    /// Time within which the evacuation of a failure domain must be in force; zero if there is no
+    /// such bound.
+    std::int64_t evacuationMs = 0;
     /// Retry budget over all instances: ratio of retries to requests per window, and additional
     /// retries per window.
     double retryRatio = 0.2;
@@ -44,8 +47,16 @@
     /// Adapter load time and prefill speed, for estimates.
     std::int64_t adapterLoadMs = 250;
     double promptTokensPerMs = 40;
+    /// Whether the speed of each engine is learned from its answers.
+    bool learnsSpeed = false;
     /// Region of each failure domain. A failure domain that is not listed is in no region.
     std::map<std::string, std::string, std::less<>> regions;
+    /// Requests that a cold endpoint may receive in a second: a multiple of what it sustains, and
+    /// additional ones. Without the factor the rule is not in force.
+    double coldOver = 0;
+    double coldSlack = 0;
+    /// Whether requests are weighed against each other during an overload.
+    bool weighsOverload = false;
 
     /// Parses and checks a file. On failure the error lists every problem on a line of its own;
     /// outProblems receives them individually.
--- a/tests/unit/forwarding_front_fixture.h
+++ b/tests/unit/forwarding_front_fixture.h
@@ -112,6 +112,8 @@
 struct front_fixture
 {
     core::duration firstMessageTimeout;
+    bool confirmsEvacuations = false;
+    bool weighsOverload = false;
     kernel::event_loop loop;
     core::metrics metrics;
     kernel::service_registry registry{loop};
@@ -122,7 +124,10 @@
         forwarding::front_options{.instance = "a",
                                   .failureDomain = "north",
                                   .listen = {"127.0.0.1", 0},
+                                  .settings = {.limitsCold = true},
                                   .retries = {.ratio = 0.2, .slack = 100},
+                                  .confirmsEvacuations = confirmsEvacuations,
+                                  .weighsOverload = weighsOverload,
                                   .firstMessageTimeout = firstMessageTimeout}))};
     kernel::timer limit{loop, [this] { loop.stop(); }};
     kernel::timer heartbeats{loop, [this] { registry.broadcast(fleet::heartbeat_due{}); }};
@@ -130,9 +135,14 @@
     http1::caller_limits callerLimits;
     /// Changes the configuration before configure() publishes it.
     std::function<void(routing::configuration &)> adjusts = {};
+    /// Requests per second that a cold endpoint of the plain service sustains; 0: never cold.
+    double coldPerSecond = 0;
 
-    explicit front_fixture(core::duration inFirstMessageTimeout = 400ms)
+    explicit front_fixture(core::duration inFirstMessageTimeout = 400ms,
+                           bool inConfirmsEvacuations = false, bool inWeighsOverload = false)
         : firstMessageTimeout(inFirstMessageTimeout)
+        , confirmsEvacuations(inConfirmsEvacuations)
+        , weighsOverload(inWeighsOverload)
     {
         REQUIRE(front.listen());
         registry.handle<orders::local_load_wanted>(
@@ -162,9 +172,10 @@
                         .pathPrefix = "/lm/",
                         .kind = inKind,
                         .timeout = inTimeout,
+                        .targetLatency = 1s,
                         .maxEndpoints = inMaxEndpoints,
                         .services = {{"models", 1}}}},
-            .services = {{.name = "shop"},
+            .services = {{.name = "shop", .coldTime = 10s, .coldPerSecond = coldPerSecond},
                          {.name = "models", .engine = routing::engine_profile{.batch = 64}}},
             .accounts = {{.name = "north",
                           .keyDigests = {core::sha256Hex("k1")},
--- a/tests/unit/settings_forwarding_test.cpp
+++ b/tests/unit/settings_forwarding_test.cpp
@@ -33,6 +33,9 @@
 [regions]
 "reykjanes-a" = "reykjanes"
 austur = "austurland"
+[cold]
+over = 1.5
+slack = 5
 )";
 
 } // namespace
@@ -47,6 +50,11 @@
     CHECK(settings->regions
           == std::map<std::string, std::string, std::less<>>{{"reykjanes-a", "reykjanes"},
                                                              {"austur", "austurland"}});
+    CHECK(settings->coldOver == 1.5);
+    CHECK(settings->coldSlack == 5);
+    // The template leaves the table empty where the rule is not in force.
+    const std::string empty = cFile.substr(0, cFile.find("over = 1.5"));
+    CHECK(forwarding_settings::sFromToml(empty, "a.toml")->coldOver == 0);
     CHECK(forwarding_settings::sIsForwardingFile(cFile));
     CHECK_FALSE(forwarding_settings::sIsForwardingFile("[platform]\naddress = \"1.1.1.1:1\"\n"));
 }
