--- a/corneltally/forwarding/forwarded_request.cpp
+++ b/corneltally/forwarding/forwarded_request.cpp
@@ -42,6 +42,8 @@
 constexpr core::duration cPartProofTime = milliseconds(100);
 /// Shortest time after which a caller whose prompt holds a quarantined part may return.
 constexpr core::duration cMinHoldAnswer = std::chrono::seconds(1);
+/// A connection that was not established within this time may mean that the endpoint has restarted.
+constexpr core::duration cMinConnectWait = milliseconds(100);
 /// Shorter estimates count as this in the histogram.
 constexpr core::duration cMinEstimate = milliseconds(1);
 
@@ -180,6 +182,9 @@
 bool forwarded_request::admitParts()
 {
     using admission = quarantine::part_quarantine::admission;
+    // A probe that chooses another endpoint before it was sent remains the probe.
+    if (mIsProbe && mSendCount == 0)
+        return true;
     const core::time_point now = core::boot_clock::now();
     const admission result = mContext.quarantine.admit(mPartChain, now, mSendCount > 0);
     if (result == admission::allowed)
@@ -221,7 +226,13 @@
     cancelAttempt();
     forgetPermit();
     uncountWaiting();
-    admitParts();
+    if (!admitParts())
+        return;
+    // The request is to test the part.
+    if (mRunState == run_state::not_run)
+        chooseAndSend();
+    else
+        answerUnknown("a part of the prompt is in quarantine");
 }
 
 core::duration forwarded_request::timeLeft() const
@@ -299,6 +310,8 @@
     mHeadReceived = false;
     mAnswerAsksPause = false;
     mBuffersAnswer = false;
+    // Its body is cleared as well.
+    mFailureAnswerStored = false;
     mBody.clear();
     mSplitter.clear();
     countLoad();
@@ -573,14 +586,18 @@
 {
     overloadNotServed();
     if (mAnswerStarted) {
+        // Without an outcome a request counts as in flight, which ends the recovery of an endpoint.
+        if (engines::endpoint *target = currentTarget(); target != nullptr && mLoadCounted)
+            target->health.abandoned();
         endUnfinished("the time of the route is over");
         return;
     }
     if (mState == state::sent) {
         if (engines::endpoint *target = currentTarget())
             target->health.failed(core::boot_clock::now());
-        // A slow answer is no sign of a new start, unlike a connection that was not established.
-        if (mUpstream && !mUpstream->sent())
+        // A slow answer is no sign of a new start, unlike a connection that was not established,
+        // unless there was no time for it.
+        if (mUpstream && !mUpstream->sent() && core::boot_clock::now() - mSentAt >= cMinConnectWait)
             mContext.endpoints.expectColdAfterLoss(mChoice.endpoint, mEndpointStart,
                                                    core::boot_clock::now());
     }
--- a/corneltally/forwarding/permit_requests.h
+++ b/corneltally/forwarding/permit_requests.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "corneltally/core/boot_clock.h"
 #include "corneltally/fleet/fleet_messages.h"
 
 #include <cstdint>
@@ -21,7 +22,9 @@
 
 private:
     std::map<std::uint64_t, handler> mPending;
-    std::uint64_t mNext = 1;
+    /// Differs after a restart, since late replies to the former process reach this one.
+    std::uint64_t mNext
+        = static_cast<std::uint64_t>(core::boot_clock::now().time_since_epoch().count());
 };
 
 } // namespace corneltally::forwarding
--- a/tests/unit/forwarding_permit_test.cpp
+++ b/tests/unit/forwarding_permit_test.cpp
@@ -195,3 +195,18 @@
     CHECK(took >= 290ms);
     CHECK(took < 420ms);
 }
+
+// Failure: a late reply to the former process of a restarted instance grants a permit that another
+// endpoint's holder was asked for.
+TEST_CASE("replies to the requests of a former process grant nothing")
+{
+    forwarding::permit_requests former;
+    const std::uint64_t number = former.add([](const fleet::permit_reply &) {});
+    const core::time_point restartAt = core::boot_clock::now() + 2ms;
+    while (core::boot_clock::now() < restartAt) { }
+    forwarding::permit_requests restarted;
+    bool granted = false;
+    restarted.add([&](const fleet::permit_reply &inReply) { granted = inReply.granted; });
+    restarted.replied({number, true});
+    CHECK_FALSE(granted);
+}
