--- a/review/7/case_7.cpp
+++ b/review/7/case_7.cpp
@@ -46,8 +46,7 @@
                  .machines = cMachines,
                  .engines = 6,
                  .applications = 1,
-                 .engineFlags
-                 = {"--events", std::to_string(cEvents), "--event-ms", "40"}})
+                 .engineFlags = {"--events", std::to_string(cEvents), "--event-ms", "40"}})
         , mCallers(review::deployment::cHost)
     { }
 
@@ -103,17 +102,17 @@
             if (mSite.isRunning(machine) && mSite.hasRunFor(machine, cStable, steady::now()))
                 mByMachineInTouch.insert(id);
         }
-        mCallers.send({.id = id,
-                       .method = "POST",
-                       .path = "/spec-review/" + number,
-                       .key = review::deployment::cKey,
-                       .model = std::string(review::deployment::cModel) + "/a"
-                           + std::to_string(mSent % 6),
-                       .tokens = "130,52",
-                       .parts = parts + "," + "5e" + std::to_string(100'000 + mSent) + ":50",
-                       .body = "prompt " + number,
-                       .patience = 3000ms},
-                      machine, mSite.addressOf(machine), mSite.callerPort());
+        mCallers.send(
+            {.id = id,
+             .method = "POST",
+             .path = "/spec-review/" + number,
+             .key = review::deployment::cKey,
+             .model = std::string(review::deployment::cModel) + "/a" + std::to_string(mSent % 6),
+             .tokens = "130,52",
+             .parts = parts + "," + "5e" + std::to_string(100'000 + mSent) + ":50",
+             .body = "prompt " + number,
+             .patience = 3000ms},
+            machine, mSite.addressOf(machine), mSite.callerPort());
     }
 
     /// Engines that a deadly part has ended are back after some seconds.
@@ -136,9 +135,8 @@
         for (const caller_call &call : mCallers.calls()) {
             calls[call.request.id] = &call;
             mRecord.noteAt(call.sentAt,
-                           "sent " + call.request.id + " to machine "
-                               + std::to_string(call.machine) + ": "
-                               + std::to_string(call.status)
+                           "sent " + call.request.id + " to machine " + std::to_string(call.machine)
+                               + ": " + std::to_string(call.status)
                                + (call.complete ? " complete" : " not complete"));
         }
         // A deadly request ends its engine as soon as that begins to answer, so that each run is a
@@ -149,8 +147,8 @@
             if (!run.value("deadly", false) || call == calls.end())
                 continue;
             runs.push_back(call->second);
-            mRecord.noteAt(call->second->sentAt, "ran " + call->first + " at "
-                               + run.value("process", "") + ", crash "
+            mRecord.noteAt(call->second->sentAt,
+                           "ran " + call->first + " at " + run.value("process", "") + ", crash "
                                + std::to_string(runs.size()));
         }
         int late = 0;
