--- a/review/harness-2/deployment.cpp
+++ b/review/harness-2/deployment.cpp
@@ -29,6 +29,8 @@
 constexpr const char *cEndpointProgram = "standin_site_endpoint";
 constexpr std::array cZones{"reykjanes-a", "reykjanes-b", "reykjanes-c"};
 constexpr auto cStartLimit = 20s;
+/// Interval in which the store expects the endpoints' check-ins; `heartbeat-ms` of the settings.
+constexpr const char *cHeartbeatMs = "1200";
 
 json route(const char *inName, const char *inKind, const char *inService, int inTimeoutMs)
 {
@@ -128,8 +130,9 @@
 bool deployment::start()
 {
     if (mPorts.size() < 3
-        || !startProcess("store", "standin_site_store",
-                         {"--name", "store", "--ledger", fileIn("ledger")})
+        || !startProcess(
+            "store", "standin_site_store",
+            {"--name", "store", "--ledger", fileIn("ledger"), "--heartbeat-ms", cHeartbeatMs})
         || !publish())
         return false;
     for (int index = 1; index <= mOptions.engines; ++index) {
--- a/review/harness-2/engine_main.cpp
+++ b/review/harness-2/engine_main.cpp
@@ -15,6 +15,7 @@
     flags.add("late-max-ms", "longest delay of such an order", options.lateMaxMs);
     flags.add("late-window-ms", "time in which orders get no answer", options.lateWindowMs);
     flags.add("late-period-ms", "period of these times", options.latePeriodMs);
+    flags.add("repeated-unload", "answer to an unload under way", options.repeatedUnload);
     flags.add("seed", "seed of the random choices", options.seed);
     if (!flags.parse(inCount, inArguments))
         return 2;
--- a/review/harness-2/engine_stand_in.cpp
+++ b/review/harness-2/engine_stand_in.cpp
@@ -232,8 +232,10 @@
     else if (inOrder.contains("expect") && inOrder.at("expect").get<std::uint64_t>() != mSequence)
         status = 409;
     else if (mUnloading)
-        // The same order is being carried out; any other one has to wait.
-        status = operation == "unload" && *mUnloading == adapter ? 202 : 409;
+        // Either the same order is being carried out, or another one has to wait.
+        status = operation == "unload" && *mUnloading == adapter
+            ? static_cast<int>(mOptions.repeatedUnload)
+            : 409;
     else
         status = operation == "load" ? load(adapter) : unload(adapter);
     mHost.facts().write("order",
--- a/review/harness-2/engine_stand_in.h
+++ b/review/harness-2/engine_stand_in.h
@@ -35,6 +35,8 @@
     /// Orders get no answer in the first part of each period only.
     long long lateWindowMs = 6000;
     long long latePeriodMs = 7000;
+    /// Answer to an unload that is already being carried out: 202 or 409.
+    long long repeatedUnload = 202;
     long long seed = 1;
 };
 
