--- a/review/harness-2/late_orders.cpp
+++ b/review/harness-2/late_orders.cpp
@@ -20,6 +20,11 @@
 /// Adapters that are asked for; the engines have places for half of them.
 constexpr int cAdapters = 600;
 constexpr auto cPatience = 15s;
+/// Share of the callers that leave early, after how long, and for how long in each period some do.
+constexpr double cLeavingShare = 0.3;
+constexpr auto cLeavingPatience = 1500ms;
+constexpr auto cLeavingWindow = 5500ms;
+constexpr auto cLeavingPeriod = 7000ms;
 /// Share of the orders without an answer, the bounds of their delay, and for how long in each
 /// period orders get no answer.
 constexpr const char *cLateShare = "0.35";
@@ -43,6 +48,7 @@
                              "--late-window-ms", cLateWindowMs, "--late-period-ms", cLatePeriodMs,
                              "--repeated-unload", std::to_string(inOptions.repeatedUnloadStatus)}})
     , mCallers(deployment::cHost)
+    , mCallersLeave(inOptions.callersLeave)
 { }
 
 int late_orders_run::run()
@@ -50,10 +56,10 @@
     if (!mSite.start())
         return 2;
     mCallers.run(steady::now() + cWarmUp);
-    const auto start = steady::now();
+    mStart = steady::now();
     mRecord.note("traffic starts");
-    auto next = start;
-    while (steady::now() < start + cLength && mSite.endedEndpoints().empty()) {
+    auto next = mStart;
+    while (steady::now() < mStart + cLength && mSite.endedEndpoints().empty()) {
         mCallers.run(steady::now() + 2ms);
         for (; steady::now() >= next;
              next += std::chrono::duration_cast<steady::duration>(std::chrono::duration<double>(
@@ -69,6 +75,8 @@
     const int machine = 1 + static_cast<int>(mRandom() % cMachines);
     const std::string number = std::to_string(++mSent);
     const int adapter = static_cast<int>(mRandom() % cAdapters);
+    const bool leaves = mCallersLeave && (steady::now() - mStart) % cLeavingPeriod < cLeavingWindow
+        && std::bernoulli_distribution(cLeavingShare)(mRandom);
     const int tokens = 200 + static_cast<int>(mRandom() % 400);
     mCallers.send({.id = "r" + number,
                    .method = "POST",
@@ -78,7 +86,7 @@
                    .tokens = "130," + std::to_string(tokens),
                    .parts = "c0ffee:40,5e" + std::to_string(100'000 + mSent) + ":90",
                    .body = "prompt " + number,
-                   .patience = cPatience},
+                   .patience = leaves ? cLeavingPatience : std::chrono::milliseconds(cPatience)},
                   machine, mSite.addressOf(machine), mSite.callerPort());
 }
 
--- a/review/harness-2/late_orders.h
+++ b/review/harness-2/late_orders.h
@@ -18,6 +18,8 @@
     int repeatedUnloadStatus = 202;
     /// Whether orders get no answer and are carried out late.
     bool leavesOrders = true;
+    /// Whether some callers leave before their answer is complete.
+    bool callersLeave = true;
 };
 
 /// Callers that ask engines for more adapters than these have places for, while a share of the
@@ -40,6 +42,8 @@
     open_caller mCallers;
     std::mt19937_64 mRandom{std::random_device{}()};
     std::size_t mSent = 0;
+    steady::time_point mStart;
+    bool mCallersLeave;
 };
 
 } // namespace review
