Treat answers whose status is outside 100 to 599 as broken

Callers saw: an engine in trouble sent a status of 000 with its seal, and the instance passed it on as an answer (as "HTTP/1.1 0"). Statuses 001, 099, 600 and 999 were passed on too.

Cause: Boost.Beast accepts any three digits as a status. Forwarding tells successes and failures apart by the first digit, so a sealed answer that is neither was passed on as it came. libevent, which reads the answers of entry instances, refuses only 0.

Change: both readers of answers check the status before they report a head. Such an answer counts as bytes that are no answer, wherever answers are read: of endpoints, of the store, to status reports and orders. A caller gets 502 with an unknown outcome, or the answer of another endpoint if the request may be repeated.

--- a/corneltally/http/client.cpp
+++ b/corneltally/http/client.cpp
@@ -1,5 +1,6 @@
 #include "corneltally/http/client.h"
 
+#include "corneltally/http1/message_head.h"
 #include "corneltally/kernel/event_loop.h"
 #include "corneltally/kernel/timer.h"
 
@@ -210,14 +211,18 @@
         static_cast<running_call *>(inCall)->transportError = true;
     }
 
+    /// Returns -1 if the response is broken; the library then reports the call as failed.
     static int sHead(evhttp_request *inRequest, void *inCall)
     {
         auto &call = *static_cast<running_call *>(inCall);
         call.headSeen = true;
+        const int status = evhttp_request_get_response_code(inRequest);
+        if (!http1::isValidStatus(status))
+            return -1;
         if (call.idleDeadline)
             call.idleDeadline->startOnce(call.request.idleTimeout);
         if (call.events.onHead)
-            call.events.onHead(evhttp_request_get_response_code(inRequest), copyHeaders(inRequest));
+            call.events.onHead(status, copyHeaders(inRequest));
         return 0;
     }
 
--- a/corneltally/http1/message_head.cpp
+++ b/corneltally/http1/message_head.cpp
@@ -93,6 +93,11 @@
     return text;
 }
 
+bool isValidStatus(int inStatus)
+{
+    return inStatus >= 100 && inStatus < 600;
+}
+
 std::string_view reasonPhrase(int inStatus)
 {
     switch (inStatus) {
--- a/corneltally/http1/message_head.h
+++ b/corneltally/http1/message_head.h
@@ -61,6 +61,9 @@
 /// Serializes the head of a response. It must contain the fields that frame the body.
 std::string formatHead(const response_head &inHead);
 
+/// Whether a status code is one that HTTP defines the meaning of, if only by its first digit.
+bool isValidStatus(int inStatus);
+
 /// Standard reason phrase of a status code.
 std::string_view reasonPhrase(int inStatus);
 
--- a/corneltally/http1/message_parser.cpp
+++ b/corneltally/http1/message_parser.cpp
@@ -119,8 +119,13 @@
     }
 
     void on_response_impl(int inStatus, string_view inReason, int inVersion,
-                          error_code & /*outError*/) override
+                          error_code &outError) override
     {
+        // Beast accepts any three digits.
+        if (!isValidStatus(inStatus)) {
+            outError = beast::http::error::bad_status;
+            return;
+        }
         mVersion = inVersion;
         response.status = inStatus;
         response.reason = toString(inReason);
--- /dev/null
+++ b/tests/unit/forwarding_broken_answer_test.cpp
@@ -0,0 +1,59 @@
+// Guards against broken answers of endpoints that callers get as answers.
+
+#include "tests/broken_heads.h"
+#include "tests/unit/forwarding_front_fixture.h"
+
+using namespace corneltally;
+using namespace corneltally::front_test;
+using routing::repetition;
+
+namespace {
+
+const std::string cSeal = std::string(platform::cSealField) + ": s1\r\n";
+
+/// Checks that callers never get the answers of an endpoint: an order has an unknown outcome, a
+/// repeatable request is answered by another endpoint.
+void checkNotPassedOn(const std::vector<std::string> &inAnswers)
+{
+    const repetition repeats = GENERATE(repetition::once, repetition::repeatable);
+    CAPTURE(repeats == repetition::once);
+    front_fixture fixture;
+    fixture.configure(repeats, 2);
+    std::uint64_t start = 1;
+    for (const std::string &answer : inAnswers) {
+        INFO(answer);
+        // Each answer comes from a new start of the endpoint, which has not failed yet.
+        fixture.announce("e1", "shop", fixture.first, ++start);
+        fixture.first.script = {{answer, true}};
+        fixture.second.script = {{cSealed}};
+        fixture.second.requests.clear();
+        const caller_view view = fixture.call();
+        CHECK(view.end.outcome == http1::exchange_end::kind::complete);
+        if (repeats == repetition::once) {
+            CHECK(view.status == 502);
+            CHECK_FALSE(http1::findField(view.fields, platform::cSealField));
+            CHECK(view.body.find(R"("run":"unknown")") != std::string::npos);
+            CHECK(fixture.second.requests.empty());
+        } else {
+            CHECK(view.status == 200);
+            CHECK(view.body == "ok");
+            CHECK(fixture.second.requests.size() == 1);
+        }
+    }
+}
+
+} // namespace
+
+// Failure: a status of 000 in a sealed answer is neither a success nor a failure of the endpoint,
+// and is passed on as any other status.
+TEST_CASE("an answer with a status that HTTP does not define is not passed on")
+{
+    std::vector<std::string> answers;
+    for (const std::string &status : broken_heads::cStatuses) {
+        const std::string head = broken_heads::statusLine(status) + cSeal;
+        answers.push_back(head + "Content-Length: 6\r\n\r\nbroken");
+        answers.push_back(head + "\r\nbroken");
+        answers.push_back(head + "Content-Length: 0\r\n\r\n" + cSealed);
+    }
+    checkNotPassedOn(answers);
+}
--- /dev/null
+++ b/tests/unit/http_broken_response_test.cpp
@@ -0,0 +1,69 @@
+// Guards against broken responses that the client of entry instances reports as complete.
+
+#include "corneltally/http/client.h"
+#include "corneltally/kernel/event_loop.h"
+#include "corneltally/kernel/timer.h"
+#include "tests/broken_heads.h"
+#include "tests/raw_endpoint.h"
+
+#include <optional>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include <catch2/catch.hpp>
+
+using namespace corneltally;
+using namespace std::chrono_literals;
+
+namespace {
+
+http::response call(const raw_endpoint &inEndpoint, std::string inBody = {})
+{
+    kernel::event_loop loop;
+    http::client client(loop);
+    kernel::timer limit(loop, [&] { loop.stop(); });
+    limit.startOnce(10s);
+    std::optional<http::response> response;
+    http::fetch(client,
+                {.target = {"127.0.0.1", inEndpoint.port()},
+                 .method = "POST",
+                 .path = "/",
+                 .body = std::move(inBody)},
+                [&](const http::response &inResponse) {
+                    response = inResponse;
+                    // The connection is closed after this event.
+                    loop.post([&loop] { loop.stop(); });
+                });
+    loop.run();
+    REQUIRE(response.has_value());
+    return *response;
+}
+
+http::response answeredWith(const std::string &inBytes)
+{
+    raw_endpoint endpoint([&](int inSocket) {
+        raw_endpoint::sReadSome(inSocket);
+        raw_endpoint::sSend(inSocket, inBytes);
+        shutdown(inSocket, SHUT_WR);
+        while (raw_endpoint::sReadSome(inSocket)) { }
+        close(inSocket);
+    });
+    return call(endpoint);
+}
+
+} // namespace
+
+// Failure: the response counts as one of the endpoint, or as proof that nothing was sent, after
+// which an order would run again.
+TEST_CASE("a response with a status that HTTP does not define interrupts its call")
+{
+    for (const std::string &status : broken_heads::cStatuses) {
+        for (const std::string rest :
+             {"Content-Length: 2\r\n\r\nok", "Connection: close\r\n\r\nok"}) {
+            INFO(status << rest);
+            CHECK(answeredWith(broken_heads::statusLine(status) + rest).outcome
+                  == http::call_outcome::interrupted);
+        }
+    }
+}
