Treat a connection that is reset during a write as failed

Callers saw: an engine answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was still being written. The caller got the part as a complete answer.

Cause: when the reset arrives, the socket is readable and writable. The write comes first and takes the error (ECONNRESET) from the socket; the read after it finds only the end of the input. libevent reports both in one event, and the stream looked at the end before the error, so that the connection counted as closed in an orderly way, which ends a body without a length.

Change: an error in the event goes before the end. A connection without an error is not affected.

--- a/corneltally/http1/socket_stream.cpp
+++ b/corneltally/http1/socket_stream.cpp
@@ -100,8 +100,10 @@
         if ((inWhat & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) == 0)
             return;
         const auto handler = self->events.onEnd;
+        // One event can report a failed write and the end of input. The write took the error from
+        // the socket, so that the read saw no more of a reset than the end.
         const stream_end end
-            = (inWhat & BEV_EVENT_EOF) != 0 ? stream_end::closed : stream_end::failed;
+            = (inWhat & BEV_EVENT_ERROR) != 0 ? stream_end::failed : stream_end::closed;
         if (handler)
             handler(end);
     }
--- a/tests/integration/site_broken_answer_test.cpp
+++ b/tests/integration/site_broken_answer_test.cpp
@@ -80,3 +80,17 @@
     });
     checkUnknown(orderAt(endpoint, "order"));
 }
+
+TEST_CASE("callers do not get an answer whose connection is reset during an upload")
+{
+    raw_endpoint endpoint([](int inSocket) {
+        // Keeps the rest of the upload at the instance.
+        const int buffer = 64 * 1024;
+        setsockopt(inSocket, SOL_SOCKET, SO_RCVBUF, &buffer, sizeof buffer);
+        raw_endpoint::sReadSome(inSocket);
+        raw_endpoint::sSend(inSocket, "HTTP/1.1 200 OK\r\n" + cSeal + "\r\npart");
+        std::this_thread::sleep_for(50ms);
+        raw_endpoint::sReset(inSocket);
+    });
+    checkUnknown(orderAt(endpoint, std::string(4'000'000, 'x')));
+}
