Complete a body that ends with its connection only once the request is received

Callers would see the same as with the reset: a part of an answer that looks complete. Found while the same cause was sought in the other ways in which a connection that is written to can end.

Cause: a server whose process ends has its connections closed by its system, in an orderly way if it has read all that arrived, and reset once more of the request arrives. The close ended a body without a length at once, though the request was still on its way.

Change: when such a body ends, the exchange is complete only if the socket has no error and the server has acknowledged the whole request; until then it waits for one of both. A request that was received costs two system calls.

--- a/corneltally/http1/client_connection.cpp
+++ b/corneltally/http1/client_connection.cpp
@@ -13,6 +13,9 @@
 /// retransmitted only after a second.
 constexpr core::duration cConnectTime = std::chrono::milliseconds(400);
 
+/// Interval at which it is checked whether the server has received the whole request.
+constexpr core::duration cAcknowledgeInterval = std::chrono::milliseconds(5);
+
 /// Limit on the bytes of interim and discarded responses in one exchange.
 constexpr std::size_t cMaxSkippedBytes = 256 * 1024;
 /// Limit on the bytes that wait for the end of a line, which is the largest unit of the parser.
@@ -38,6 +41,7 @@
                                      core::duration inDataTimeout)
     : mStream(inLoop, inTarget, inDataTimeout)
     , mConnectTimer(inLoop, [this] { connectTimeExpired(); })
+    , mAcknowledgeTimer(inLoop, [this] { endBodyWithConnection(); })
     , mTarget(inTarget)
     , mLastInput(core::boot_clock::now())
 {
@@ -193,6 +197,7 @@
                                bool inConnectionLost)
 {
     mRunning = false;
+    mAcknowledgeTimer.cancel();
     const bool wasSent = sent();
     // Unsent request bytes or extra bytes after the response would corrupt the next exchange.
     if (inOutcome != exchange_end::kind::complete || !mStream.input().empty()
@@ -221,15 +226,32 @@
     // Only an orderly close completes a body without a stated length.
     if (inEnd == stream_end::closed && mHeadDelivered && !mDropping
         && mParser->endsWithConnection()) {
-        mParser->feedEnd();
-        if (mParser->complete()) {
-            finish(exchange_end::kind::complete, "complete");
-            return;
-        }
+        endBodyWithConnection();
+        return;
     }
     finish(exchange_end::kind::broken,
            inEnd == stream_end::closed ? "the connection was closed" : "the connection failed",
            true);
 }
 
+/// Completes a body that ends with its connection once the server has received the whole request.
+/// A server whose process ends in the middle of its answer closes its connections too, but resets
+/// them when more of the request arrives.
+void client_connection::endBodyWithConnection()
+{
+    if (mStream.hasFailed()) {
+        streamEnded(stream_end::failed);
+        return;
+    }
+    if (!mStream.isAcknowledged()) {
+        mAcknowledgeTimer.startOnce(cAcknowledgeInterval);
+        return;
+    }
+    mParser->feedEnd();
+    if (mParser->complete())
+        finish(exchange_end::kind::complete, "complete");
+    else
+        finish(exchange_end::kind::broken, "the connection was closed", true);
+}
+
 } // namespace corneltally::http1
--- a/corneltally/http1/client_connection.h
+++ b/corneltally/http1/client_connection.h
@@ -87,10 +87,12 @@
     void finish(exchange_end::kind inOutcome, std::string_view inReason,
                 bool inConnectionLost = false);
     void streamEnded(stream_end inEnd);
+    void endBodyWithConnection();
     void updateReuse(const response_head &inHead);
 
     socket_stream mStream;
     kernel::timer mConnectTimer;
+    kernel::timer mAcknowledgeTimer;
     address mTarget;
     events mEvents;
     std::optional<message_parser> mParser;
--- a/corneltally/http1/socket_stream.cpp
+++ b/corneltally/http1/socket_stream.cpp
@@ -9,8 +9,10 @@
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 namespace corneltally::http1 {
@@ -183,6 +185,23 @@
     return mState->written - unsentBytes();
 }
 
+bool socket_stream::isAcknowledged() const
+{
+    int unacknowledged = 0;
+    if (mState->stream != nullptr)
+        ::ioctl(bufferevent_getfd(mState->stream), SIOCOUTQ, &unacknowledged);
+    return unsentBytes() == 0 && unacknowledged == 0;
+}
+
+bool socket_stream::hasFailed() const
+{
+    int error = 0;
+    socklen_t size = sizeof(error);
+    if (mState->stream != nullptr)
+        getsockopt(bufferevent_getfd(mState->stream), SOL_SOCKET, SO_ERROR, &error, &size);
+    return error != 0;
+}
+
 void socket_stream::setReading(bool inReading)
 {
     if (mState->stream == nullptr)
--- a/corneltally/http1/socket_stream.h
+++ b/corneltally/http1/socket_stream.h
@@ -57,6 +57,11 @@
     /// Number of bytes passed to the socket so far.
     std::size_t sentBytes() const;
 
+    /// Whether the peer has received all written bytes, as far as its acknowledgements tell.
+    bool isAcknowledged() const;
+    /// Whether the connection has failed and no event has reported it yet. Reports it once.
+    bool hasFailed() const;
+
     /// Stops or resumes reading. While reading is stopped, only a failed write detects the end of
     /// the connection.
     void setReading(bool inReading);
--- a/tests/unit/http1_upload_reset_test.cpp
+++ b/tests/unit/http1_upload_reset_test.cpp
@@ -81,3 +81,41 @@
     CHECK(result.end->sent);
     CHECK(result.end->connectionLost);
 }
+
+// Failure: an endpoint whose process ends closes its connections in an orderly way, and resets them
+// when more of the request arrives.
+TEST_CASE("an answer whose connection is closed and then reset during an upload is broken")
+{
+    // The smaller one fits into the socket buffers.
+    const std::size_t bytes = GENERATE(as<std::size_t>{}, 4 * 1024 * 1024, cUploadBytes);
+    CAPTURE(bytes);
+    raw_endpoint endpoint([&](int inSocket) {
+        // Acknowledges only a part of the request.
+        const int buffer = 64 * 1024;
+        setsockopt(inSocket, SOL_SOCKET, SO_RCVBUF, &buffer, sizeof buffer);
+        raw_endpoint::sReadSome(inSocket);
+        raw_endpoint::sSend(inSocket, "HTTP/1.1 200 OK\r\n\r\npart");
+        shutdown(inSocket, SHUT_WR);
+        std::this_thread::sleep_for(100ms);
+        raw_endpoint::sReset(inSocket);
+    });
+    CHECK(upload(endpoint, bytes).end->outcome == kind::broken);
+}
+
+// Failure: an early answer is thrown away though its endpoint reads the rest of the request.
+TEST_CASE("an early answer that ends with its connection is complete if the upload is received")
+{
+    const std::size_t bytes = GENERATE(as<std::size_t>{}, 1, cUploadBytes);
+    CAPTURE(bytes);
+    raw_endpoint endpoint([&](int inSocket) {
+        raw_endpoint::sReadSome(inSocket);
+        raw_endpoint::sSend(inSocket, "HTTP/1.1 200 OK\r\n\r\npart");
+        shutdown(inSocket, SHUT_WR);
+        std::this_thread::sleep_for(50ms);
+        while (raw_endpoint::sReadSome(inSocket)) { }
+        close(inSocket);
+    });
+    const upload_result result = upload(endpoint, bytes);
+    CHECK(result.end->outcome == kind::complete);
+    CHECK(result.body == "part");
+}
