Test answers with a blank or a control byte in a field name

Forwarding instances hold: Boost.Beast accepts only token characters in a name, so the answer counts as bytes that are no answer. Callers get 502 with an unknown outcome, or the answer of another endpoint.

Nothing else is changed.

--- a/tests/broken_heads.h
+++ b/tests/broken_heads.h
@@ -9,6 +9,23 @@
 /// Status codes outside the range that HTTP defines.
 inline const std::vector<std::string> cStatuses{"000", "001", "099", "600", "999"};
 
+/// Lines of a head whose names hold a blank, a control byte or nothing.
+inline const std::vector<std::string> cFieldLines{
+    "X Name: v",
+    "X-Name : v",
+    "X-Name\t: v",
+    "X\x01Name: v",
+    "X\x7fName: v",
+    std::string("X\0Name: v", 9),
+    "X\vName: v",
+    "X\rName: v",
+    ": v",
+    "X-Name",
+    "Content-Length : 1",
+    "Transfer-Encoding : chunked",
+    "Content\x01-Length: 1",
+};
+
 inline std::string statusLine(const std::string &inStatus)
 {
     return "HTTP/1.1 " + inStatus + " Status\r\n";
--- a/tests/integration/site_broken_answer_test.cpp
+++ b/tests/integration/site_broken_answer_test.cpp
@@ -94,3 +94,16 @@
     });
     checkUnknown(orderAt(endpoint, std::string(4'000'000, 'x')));
 }
+
+TEST_CASE("callers do not get an answer with a blank in a field name")
+{
+    raw_endpoint endpoint([](int inSocket) {
+        raw_endpoint::sReadSome(inSocket);
+        raw_endpoint::sSend(inSocket,
+                            "HTTP/1.1 200 OK\r\n" + cSeal
+                                + "X Name: v\r\nContent-Length : 3\r\n\r\nbroken");
+        while (raw_endpoint::sReadSome(inSocket)) { }
+        close(inSocket);
+    });
+    checkUnknown(orderAt(endpoint, "order"));
+}
--- a/tests/unit/forwarding_broken_answer_test.cpp
+++ b/tests/unit/forwarding_broken_answer_test.cpp
@@ -1,4 +1,5 @@
-// Guards against broken answers of endpoints that callers get as answers.
+// Guards against broken answers of endpoints that callers get as answers: statuses that HTTP does
+// not define, and heads whose field names are not names.
 
 #include "tests/broken_heads.h"
 #include "tests/unit/forwarding_front_fixture.h"
@@ -42,6 +43,18 @@
     }
 }
 
+std::vector<std::string> answersWithLines(const std::vector<std::string> &inLines)
+{
+    std::vector<std::string> answers;
+    for (const std::string &line : inLines) {
+        const std::string head = "HTTP/1.1 200 OK\r\n" + cSeal + line + "\r\n";
+        answers.push_back(head + "Content-Length: 6\r\n\r\nbroken");
+        answers.push_back(head + "\r\nbroken");
+        answers.push_back("HTTP/1.1 100 Continue\r\n" + cSeal + line + "\r\n\r\n" + cSealed);
+    }
+    return answers;
+}
+
 } // namespace
 
 // Failure: a status of 000 in a sealed answer is neither a success nor a failure of the endpoint,
@@ -57,3 +70,9 @@
     }
     checkNotPassedOn(answers);
 }
+
+// Failure: the line is passed on, or two receivers see different ends of the body.
+TEST_CASE("an answer with a blank or a control byte in a field name is not passed on")
+{
+    checkNotPassedOn(answersWithLines(broken_heads::cFieldLines));
+}
