Treat answers with folded lines in the head as broken

Callers saw (tests only): a line of an engine's head that begins with a blank was passed on as a part of the field before it, with a seal that was not the engine's any more.

Cause: Boost.Beast joins such a line to the field before it. HTTP no longer has folded lines; a gateway may join them in an answer or answer 502 (RFC 9112, 5.2).

Change: the parser scans the bytes of a response's head for a line that begins with a blank; such an answer is broken. Requests are read as before. Bodies with such lines, and heads that arrive in two parts split at each byte, are checked.

--- a/corneltally/http1/message_parser.cpp
+++ b/corneltally/http1/message_parser.cpp
@@ -22,6 +22,30 @@
     return {inText.data(), inText.size()};
 }
 
+/// Finds lines of a head that begin with a blank and thus continue the line before them.
+class folded_line_finder
+{
+public:
+    /// Scans the next bytes of a message; those after the head don't count. Returns whether a
+    /// folded line was found in them.
+    bool scan(std::string_view inBytes)
+    {
+        for (const char byte : inBytes) {
+            if (mHeadEnded)
+                return false;
+            if (mAtLineStart && (byte == ' ' || byte == '\t'))
+                return true;
+            mHeadEnded = mAtLineStart && byte == '\r';
+            mAtLineStart = byte == '\n';
+        }
+        return false;
+    }
+
+private:
+    bool mAtLineStart = false;
+    bool mHeadEnded = false;
+};
+
 } // namespace
 
 struct message_parser::state
@@ -67,6 +91,12 @@
             error_code error;
             const std::size_t step = base::put(
                 boost::asio::const_buffer(inBytes.data() + taken, inBytes.size() - taken), error);
+            // HTTP no longer has folded lines. Beast joins them to the field before, which would
+            // alter a value of the endpoint.
+            if (!isRequest && mFoldedLines.scan(inBytes.substr(taken, step))) {
+                failed = true;
+                break;
+            }
             taken += step;
             if (error == beast::http::error::need_more)
                 break;
@@ -186,6 +216,7 @@
     void on_finish_impl(error_code & /*outError*/) override { }
 
     body_framing mFraming;
+    folded_line_finder mFoldedLines;
     int mVersion = 11;
 };
 
--- a/tests/broken_heads.h
+++ b/tests/broken_heads.h
@@ -26,6 +26,10 @@
     "Content\x01-Length: 1",
 };
 
+/// The same for lines that begin with a blank, which receivers take for a part of the line before.
+inline const std::vector<std::string> cFoldedLines{" X-Name: v", "\tX-Name: v",
+                                                   " Content-Length: 1"};
+
 inline std::string statusLine(const std::string &inStatus)
 {
     return "HTTP/1.1 " + inStatus + " Status\r\n";
--- a/tests/unit/forwarding_broken_answer_test.cpp
+++ b/tests/unit/forwarding_broken_answer_test.cpp
@@ -76,3 +76,9 @@
 {
     checkNotPassedOn(answersWithLines(broken_heads::cFieldLines));
 }
+
+// Failure: the line becomes a part of the field before it, here of the endpoint's seal.
+TEST_CASE("an answer with a line that begins with a blank is not passed on")
+{
+    checkNotPassedOn(answersWithLines(broken_heads::cFoldedLines));
+}
--- a/tests/unit/http1_message_parser_test.cpp
+++ b/tests/unit/http1_message_parser_test.cpp
@@ -89,3 +89,35 @@
     removeConnectionFields(fields);
     CHECK(fields == header_fields{{"Accept", "text/plain"}});
 }
+
+// Failure: a line that begins with a blank is joined to the field before it, or a body that has
+// such lines is taken for a head.
+TEST_CASE("a folded line in the head of a response fails, one in its body does not")
+{
+    const auto feedAt = [](const std::string &inText, std::size_t inSplit) {
+        message_parser parser(message_parser::kind::response);
+        const std::size_t taken = parser.feed(std::string_view(inText).substr(0, inSplit));
+        parser.feed(std::string_view(inText).substr(taken));
+        parser.feedEnd();
+        return parser;
+    };
+    const std::string line = "HTTP/1.1 200 OK\r\n";
+    const std::string body = "a\r\n b\r\n\tc\r\n\r\n d";
+    for (const std::string fields : {"", "Name: a\r\n", "Name: a\r\nOther: b\r\n"}) {
+        const std::string sound = line + fields + "\r\n" + body;
+        for (std::size_t split = 0; split < sound.size(); ++split) {
+            INFO(sound << " split at " << split);
+            message_parser parser = feedAt(sound, split);
+            CHECK(parser.complete());
+            CHECK(parser.takeBody() == body);
+        }
+    }
+    for (const std::string fields : {"Name: a\r\n b\r\n", "Name: a\r\n\tb\r\nOther: c\r\n",
+                                     "Name: a\r\n \r\n", "Name:\r\n b\r\n", " Name: a\r\n"}) {
+        const std::string folded = line + fields + "\r\n" + body;
+        for (std::size_t split = 0; split < folded.size(); ++split) {
+            INFO(folded << " split at " << split);
+            CHECK_FALSE(feedAt(folded, split).complete());
+        }
+    }
+}
