Check the heads of responses that entry instances read

Callers would see: an engine's or a service's answer in whose head a name holds a blank or a control byte, with a body that is not the engine's. Found with the cases of the forwarding instances at the other reader of answers.

Cause: libevent takes any name and any coding. "Content-Length : 1" is not the length for it, so that the body goes on to the end of the connection; an answer with two lengths or with a coding other than chunked counts as whole.

The rule on names, which knew blanks only, is that of HTTP now; it also holds for requests to entry instances.

--- a/corneltally/http/client.cpp
+++ b/corneltally/http/client.cpp
@@ -1,9 +1,11 @@
 #include "corneltally/http/client.h"
 
+#include "corneltally/http1/body_framing.h"
 #include "corneltally/http1/message_head.h"
 #include "corneltally/kernel/event_loop.h"
 #include "corneltally/kernel/timer.h"
 
+#include <algorithm>
 #include <map>
 #include <optional>
 #include <unordered_map>
@@ -52,6 +54,16 @@
     return headers;
 }
 
+/// Whether a head is one of HTTP. The library accepts any name, coding and status but 0.
+bool isValidHead(int inStatus, const header_list &inHeaders)
+{
+    http1::body_framing framing;
+    return http1::isValidStatus(inStatus)
+        && std::ranges::all_of(inHeaders, [&framing](const auto &inHeader) {
+               return framing.add(inHeader.first, inHeader.second);
+           });
+}
+
 } // namespace
 
 struct client::implementation
@@ -217,12 +229,13 @@
         auto &call = *static_cast<running_call *>(inCall);
         call.headSeen = true;
         const int status = evhttp_request_get_response_code(inRequest);
-        if (!http1::isValidStatus(status))
+        const header_list headers = copyHeaders(inRequest);
+        if (!isValidHead(status, headers))
             return -1;
         if (call.idleDeadline)
             call.idleDeadline->startOnce(call.request.idleTimeout);
         if (call.events.onHead)
-            call.events.onHead(status, copyHeaders(inRequest));
+            call.events.onHead(status, headers);
         return 0;
     }
 
--- a/corneltally/http1/body_framing.cpp
+++ b/corneltally/http1/body_framing.cpp
@@ -16,6 +16,16 @@
     return inValue.substr(first, inValue.find_last_not_of(" \t") - first + 1);
 }
 
+bool isToken(std::string_view inText)
+{
+    constexpr std::string_view cOtherCharacters = "!#$%&'*+-.^_`|~";
+    return !inText.empty() && std::ranges::all_of(inText, [&](char inByte) {
+        return (inByte >= '0' && inByte <= '9') || (inByte >= 'a' && inByte <= 'z')
+            || (inByte >= 'A' && inByte <= 'Z')
+            || cOtherCharacters.find(inByte) != std::string_view::npos;
+    });
+}
+
 bool isNumber(std::string_view inText)
 {
     return !inText.empty() && std::ranges::all_of(inText, [](char inDigit) {
@@ -27,8 +37,8 @@
 
 bool body_framing::add(std::string_view inName, std::string_view inValue)
 {
-    // Some receivers ignore a space before the colon, others the field.
-    if (inName.find_first_of(" \t") != std::string_view::npos)
+    // Some receivers ignore a blank or a control byte in a name, others the field.
+    if (!isToken(inName))
         return false;
     if (equalsIgnoringCase(inName, "Transfer-Encoding")) {
         if (mChunked || mHasLength || !equalsIgnoringCase(withoutSpaces(inValue), "chunked"))
--- a/tests/broken_heads.h
+++ b/tests/broken_heads.h
@@ -30,6 +30,21 @@
 inline const std::vector<std::string> cFoldedLines{" X-Name: v", "\tX-Name: v",
                                                    " Content-Length: 1"};
 
+/// Fields of answers that do not say where the body ends, or say it twice.
+inline const std::vector<std::string> cFramings{
+    "Transfer-Encoding: identity\r\n",
+    "Transfer-Encoding: gzip\r\n",
+    "Transfer-Encoding: gzip, chunked\r\n",
+    "Transfer-Encoding: chunked, gzip\r\n",
+    "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+    "Transfer-Encoding: chunked\r\nContent-Length: 4\r\n",
+    "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n",
+    "Content-Length: 4\r\nContent-Length: 2\r\n",
+    "Content-Length: 2, 4\r\n",
+    "Content-Length: -4\r\n",
+    "Content-Length: four\r\n",
+};
+
 inline std::string statusLine(const std::string &inStatus)
 {
     return "HTTP/1.1 " + inStatus + " Status\r\n";
--- a/tests/unit/http1_framing_test.cpp
+++ b/tests/unit/http1_framing_test.cpp
@@ -8,6 +8,7 @@
 #include "corneltally/http1/server_connection.h"
 #include "corneltally/kernel/event_loop.h"
 #include "corneltally/kernel/timer.h"
+#include "tests/broken_heads.h"
 
 #include <memory>
 #include <string>
@@ -163,19 +164,6 @@
 // Failure: an answer whose framing is not valid looks whole, empty or too long.
 TEST_CASE("answers without a valid framing are broken")
 {
-    const std::vector<std::string> unsound{
-        "Transfer-Encoding: identity\r\n",
-        "Transfer-Encoding: gzip\r\n",
-        "Transfer-Encoding: gzip, chunked\r\n",
-        "Transfer-Encoding: chunked, gzip\r\n",
-        "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
-        "Transfer-Encoding: chunked\r\nContent-Length: 4\r\n",
-        "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n",
-        "Content-Length: 4\r\nContent-Length: 2\r\n",
-        "Content-Length: 2, 4\r\n",
-        "Content-Length: -4\r\n",
-        "Content-Length: four\r\n",
-    };
     kernel::event_loop loop;
     std::string answer;
     std::vector<std::unique_ptr<http1::socket_stream>> streams;
@@ -193,7 +181,7 @@
                            .onEnd = {}});
     });
     REQUIRE(listener.listen({"127.0.0.1", 0}));
-    for (const std::string &fields : unsound) {
+    for (const std::string &fields : broken_heads::cFramings) {
         for (const std::string body : {"", "4\r\nbody\r\n0\r\n\r\n"}) {
             INFO(fields << body);
             answer = "HTTP/1.1 200 OK\r\n" + fields;
--- a/tests/unit/http_broken_response_test.cpp
+++ b/tests/unit/http_broken_response_test.cpp
@@ -67,3 +67,49 @@
         }
     }
 }
+
+// Failure: the endpoint's fields are read past the line, with another end of the body.
+TEST_CASE("a response with a blank or a control byte in a field name interrupts its call")
+{
+    for (const std::string &line : broken_heads::cFieldLines) {
+        for (const std::string rest :
+             {"Content-Length: 2\r\n\r\nok", "Connection: close\r\n\r\nok"}) {
+            INFO(line << rest);
+            CHECK(answeredWith("HTTP/1.1 200 OK\r\n" + line + "\r\n" + rest).outcome
+                  == http::call_outcome::interrupted);
+        }
+    }
+}
+
+// Failure: a response whose end is not known looks whole, empty or too long.
+TEST_CASE("a response without a valid framing interrupts its call")
+{
+    for (const std::string &fields : broken_heads::cFramings) {
+        for (const std::string body : {"", "4\r\nbody\r\n0\r\n\r\n"}) {
+            INFO(fields << body);
+            CHECK(answeredWith("HTTP/1.1 200 OK\r\nConnection: close\r\n" + fields + "\r\n" + body)
+                      .outcome
+                  == http::call_outcome::interrupted);
+        }
+    }
+}
+
+// Failure: a part of a response counts as complete since its connection was reset while the request
+// was still being written.
+TEST_CASE("a response whose connection is reset during an upload interrupts its call")
+{
+    constexpr std::size_t cUploadBytes = 32 * 1024 * 1024;
+    const auto pause = GENERATE(0ms, 1ms, 50ms);
+    const bool closesFirst = GENERATE(false, true);
+    CAPTURE(pause.count(), closesFirst);
+    raw_endpoint endpoint([&](int inSocket) {
+        raw_endpoint::sReadSome(inSocket);
+        raw_endpoint::sSend(inSocket, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\npart");
+        if (closesFirst)
+            shutdown(inSocket, SHUT_WR);
+        std::this_thread::sleep_for(pause);
+        raw_endpoint::sReset(inSocket);
+    });
+    CHECK(call(endpoint, std::string(cUploadBytes, 'x')).outcome
+          == http::call_outcome::interrupted);
+}
