Reset the connection of a caller whose answer without a length breaks off

Callers of HTTP/1.0 would see: a stream that breaks off at its engine ends as if it were whole. Found while the same cause was sought on the way to the caller: the end of a connection that is no end of an answer.

Cause: such an answer has neither a length nor chunks, so that only the way in which the connection ends tells whether it is whole; the instance closed it in an orderly way in both cases. Callers of HTTP/1.1 get chunks and saw the break.

Change: an answer without a length or chunks that is broken off ends with a reset.

--- a/corneltally/http1/server_connection.cpp
+++ b/corneltally/http1/server_connection.cpp
@@ -233,6 +233,7 @@
 {
     const bool bodyless = inHead.status == 204 || inHead.status == 304;
     mChunked = false;
+    mEndsWithConnection = false;
     if (inLength) {
         if (!bodyless)
             inHead.fields.emplace_back("Content-Length", std::to_string(*inLength));
@@ -240,6 +241,7 @@
         mChunked = true;
         inHead.fields.emplace_back("Transfer-Encoding", "chunked");
     } else {
+        mEndsWithConnection = true;
         mKeepAlive = false;
     }
     writeHead(inHead);
@@ -323,6 +325,8 @@
 void server_connection::abort()
 {
     mBusy = false;
+    if (mEndsWithConnection)
+        mStream.reset();
     closed();
 }
 
--- a/corneltally/http1/server_connection.h
+++ b/corneltally/http1/server_connection.h
@@ -129,6 +129,8 @@
     bool mBusy = false;
     bool mHeadSent = false;
     bool mChunked = false;
+    /// Whether the response has neither a length nor chunks.
+    bool mEndsWithConnection = false;
     bool mKeepAlive = true;
     bool mChunkedAllowed = true;
     bool mHeadRequest = false;
--- a/corneltally/http1/socket_stream.cpp
+++ b/corneltally/http1/socket_stream.cpp
@@ -232,4 +232,13 @@
     mState->release();
 }
 
+void socket_stream::reset()
+{
+    const linger atOnce{.l_onoff = 1, .l_linger = 0};
+    if (mState->stream != nullptr)
+        setsockopt(bufferevent_getfd(mState->stream), SOL_SOCKET, SO_LINGER, &atOnce,
+                   sizeof(atOnce));
+    close();
+}
+
 } // namespace corneltally::http1
--- a/corneltally/http1/socket_stream.h
+++ b/corneltally/http1/socket_stream.h
@@ -74,6 +74,9 @@
     /// Closes the connection immediately, without an event.
     void close();
 
+    /// The same, with a reset: the peer sees a failure and not the end of what was sent.
+    void reset();
+
 private:
     struct state;
 
--- a/tests/unit/forwarding_broken_answer_test.cpp
+++ b/tests/unit/forwarding_broken_answer_test.cpp
@@ -82,3 +82,39 @@
 {
     checkNotPassedOn(answersWithLines(broken_heads::cFoldedLines));
 }
+
+// Failure: the caller has neither a length nor chunks, so that the end of its connection is the end
+// of the answer.
+TEST_CASE("a stream that breaks off does not look complete to a caller of HTTP/1.0")
+{
+    const bool breaksOff = GENERATE(false, true);
+    CAPTURE(breaksOff);
+    front_fixture fixture;
+    fixture.configure(repetition::once_stream, 1);
+    const std::string event = "id: 1\ndata: a\n\n";
+    fixture.first.script = {{cStreamHead + chunk(event) + (breaksOff ? "" : "0\r\n\r\n"), true}};
+    http1::socket_stream caller(fixture.loop, http1::address{"127.0.0.1", fixture.front.port()},
+                                5s);
+    std::string received;
+    std::optional<http1::stream_end> end;
+    caller.setEvents({.onConnected = {},
+                      .onInput =
+                          [&] {
+                              received.append(caller.input());
+                              caller.consume(caller.input().size());
+                          },
+                      .onDrained = {},
+                      .onEnd =
+                          [&](http1::stream_end inEnd) {
+                              end = inEnd;
+                              fixture.loop.stop();
+                          }});
+    caller.write("POST /a/1 HTTP/1.0\r\nHost: shop.example\r\nAuthorization: Token k1\r\n"
+                 + std::string(platform::cRequestIdField)
+                 + ": id1\r\nContent-Length: 4\r\n\r\nbody");
+    fixture.loop.run();
+    // A reset may discard what the caller has not read.
+    if (!breaksOff)
+        CHECK(received.ends_with("\r\n\r\n" + event));
+    CHECK(end == (breaksOff ? http1::stream_end::failed : http1::stream_end::closed));
+}
