Log what becomes of bytes that arrive on closing connections

A connection that is closed while idle left no line in the log, so that the hypotheses on requests lost while draining could not be told apart. A caller's connection now states how it ended and how many bytes were discarded on it, and drain_closes_idle and stopped count the connections on which input waits. The handling of connections is unchanged.

--- a/corneltally/forwarding/front_service.cpp
+++ b/corneltally/forwarding/front_service.cpp
@@ -170,6 +170,12 @@
         mCallers, [](const auto &inEntry) { return inEntry.second.connection->unfinished(); }));
 }
 
+std::size_t front_service::withInput() const
+{
+    return static_cast<std::size_t>(std::ranges::count_if(
+        mCallers, [](const auto &inEntry) { return inEntry.second.connection->hasInput(); }));
+}
+
 void front_service::accept(int inSocket)
 {
     const std::uint64_t id = mNextCaller++;
@@ -255,7 +261,16 @@
         return;
     caller entry = std::move(found->second);
     mCallers.erase(found);
-    mEarlyRequests.erase(inCaller);
+    const bool wasEarly = mEarlyRequests.erase(inCaller) > 0;
+    const http1::connection_end end = entry.connection->end();
+    mContext.metrics.count("caller_connections_closed_total{end=\"" + std::string(toString(end))
+                           + "\"}");
+    if (entry.connection->discardedBytes() > 0 || wasEarly)
+        core::logEvent(core::log_level::warning, "caller_unanswered",
+                       {{"end", toString(end)},
+                        {"draining", mDraining},
+                        {"awaited_first_message", wasEarly},
+                        {"discarded_bytes", entry.connection->discardedBytes()}});
     if (entry.request) {
         entry.request->callerLeft();
     }
@@ -545,6 +560,10 @@
 
 void front_service::closeIdle()
 {
+    core::logEvent(core::log_level::info, "drain_closes_idle",
+                   {{"connections", mCallers.size()},
+                    {"unfinished", unfinished()},
+                    {"with_input", withInput()}});
     for (auto &[id, entry] : mCallers)
         entry.connection->closeWhenIdle();
 }
--- a/corneltally/forwarding/instance.cpp
+++ b/corneltally/forwarding/instance.cpp
@@ -142,7 +142,10 @@
                         {"peers", static_cast<int>(mMesh.port())}});
         mRegistry.startAll();
         mLoop.run();
-        core::logEvent(core::log_level::info, "stopped", {{"requests_left", mFront.running()}});
+        core::logEvent(core::log_level::info, "stopped",
+                       {{"requests_left", mFront.running()},
+                        {"callers_unfinished", mFront.unfinished()},
+                        {"callers_with_input", mFront.withInput()}});
     }
 
 private:
--- a/corneltally/http1/server_connection.cpp
+++ b/corneltally/http1/server_connection.cpp
@@ -23,6 +23,23 @@
 
 } // namespace
 
+std::string_view toString(connection_end inEnd)
+{
+    switch (inEnd) {
+    case connection_end::open:
+        return "open";
+    case connection_end::caller:
+        return "caller";
+    case connection_end::idle_timeout:
+        return "idle_timeout";
+    case connection_end::linger_timeout:
+        return "linger_timeout";
+    case connection_end::aborted:
+        break;
+    }
+    return "aborted";
+}
+
 server_connection::server_connection(kernel::event_loop &inLoop, int inSocket,
                                      const caller_limits &inLimits, core::duration inDataTimeout)
     : mStream(inLoop, inSocket, inDataTimeout)
@@ -41,7 +58,7 @@
                                if (handler)
                                    handler();
                            },
-                       .onEnd = [this](stream_end) { closed(); }});
+                       .onEnd = [this](stream_end) { closed(connection_end::caller); }});
     armIdleTimer();
 }
 
@@ -87,11 +104,12 @@
         armTimer(mPhase == phase::idle ? mLimits.idleTimeout : cLingerTime);
         return;
     }
-    closed();
+    closed(mPhase == phase::idle ? connection_end::idle_timeout : connection_end::linger_timeout);
 }
 
-void server_connection::closed()
+void server_connection::closed(connection_end inEnd)
 {
+    mEnd = inEnd;
     mStream.close();
     mTimer.cancel();
     mResume.cancel();
@@ -309,9 +327,11 @@
 {
     const std::size_t size = mStream.input().size();
     mStream.consume(size);
+    const auto expected = static_cast<std::size_t>(std::min<std::uint64_t>(size, mUnreadBytes));
+    mDiscardedBytes += size - expected;
     if (mUnreadBytes == 0)
         return;
-    mUnreadBytes -= std::min<std::uint64_t>(size, mUnreadBytes);
+    mUnreadBytes -= expected;
     if (mUnreadBytes == 0)
         endLinger();
 }
@@ -327,7 +347,7 @@
     mBusy = false;
     if (mEndsWithConnection)
         mStream.reset();
-    closed();
+    closed(connection_end::aborted);
 }
 
 void server_connection::closeWhenIdle()
--- a/corneltally/http1/server_connection.h
+++ b/corneltally/http1/server_connection.h
@@ -41,6 +41,19 @@
     body_budget::reservation reservation;
 };
 
+/// Why a connection to a caller ended.
+enum class connection_end {
+    open,
+    /// The caller closed it, or it failed.
+    caller,
+    idle_timeout,
+    /// The instance closed its side, and the caller did not close the other one in time.
+    linger_timeout,
+    aborted
+};
+
+std::string_view toString(connection_end inEnd);
+
 /// Server side of an HTTP/1.1 connection. Reads one request at a time and writes its response.
 /// While the caller leaves many bytes of responses unread, no further request is read.
 class server_connection
@@ -89,6 +102,11 @@
         return mPhase == phase::reading || mBusy || mStream.unsentBytes() > 0
             || mResume.isPending();
     }
+    /// Whether bytes of a request arrived that were not read.
+    bool hasInput() const { return mStream.hasInput(); }
+    /// Bytes that arrived after the instance had closed its side, and were not answered.
+    std::size_t discardedBytes() const { return mDiscardedBytes; }
+    connection_end end() const { return mEnd; }
     bool headSent() const { return mHeadSent; }
     std::size_t unsentBytes() const { return mStream.unsentBytes(); }
 
@@ -105,7 +123,7 @@
     void linger();
     void discardInput();
     void endLinger();
-    void closed();
+    void closed(connection_end inEnd);
     void armTimer(core::duration inDelay);
     void armIdleTimer();
     void timedOut();
@@ -123,6 +141,8 @@
     body_budget::reservation mReservation;
     /// Bytes of a refused body that the caller has yet to send.
     std::uint64_t mUnreadBytes = 0;
+    std::size_t mDiscardedBytes = 0;
+    connection_end mEnd = connection_end::open;
     core::time_point mArrived;
     core::time_point mIdleSince;
     phase mPhase = phase::idle;
--- a/corneltally/http1/socket_stream.cpp
+++ b/corneltally/http1/socket_stream.cpp
@@ -160,6 +160,16 @@
     return {reinterpret_cast<const char *>(evbuffer_pullup(buffer, -1)), length};
 }
 
+bool socket_stream::hasInput() const
+{
+    if (mState->stream == nullptr)
+        return false;
+    char next = 0;
+    return evbuffer_get_length(bufferevent_get_input(mState->stream)) > 0
+        || ::recv(bufferevent_getfd(mState->stream), &next, sizeof(next), MSG_PEEK | MSG_DONTWAIT)
+        > 0;
+}
+
 void socket_stream::consume(std::size_t inBytes)
 {
     if (mState->stream != nullptr && inBytes > 0)
--- a/corneltally/http1/socket_stream.h
+++ b/corneltally/http1/socket_stream.h
@@ -50,6 +50,8 @@
     void setEvents(events inEvents);
 
     std::string_view input();
+    /// Whether bytes arrived that are not consumed, including those that still wait in the socket.
+    bool hasInput() const;
     void consume(std::size_t inBytes);
 
     void write(std::string_view inBytes);
