Send the answers of a late last step before a draining instance exits

Cause: one step of the drain could end the requests and exit. That happens when the event loop is late by more than the 250 ms between the two margins, as on a machine with a tenth of a core. The answers were written in that step, and the loop ended before they were sent: the callers got neither an answer nor a refusal.

Change: the exit follows the step that ends the requests.

Measured: the new case of forwarding_drain_schedule_test fails for the steps at 7.599, 7.850 and 7.990 s of 8 s before, and passes now.

--- a/corneltally/forwarding/drain_schedule.cpp
+++ b/corneltally/forwarding/drain_schedule.cpp
@@ -16,8 +16,9 @@
     // while several instances drain.
     step.stopListening = elapsed >= mGrace - sListenStopMargin;
     step.endRequests = !mRequestsEnded && elapsed >= mGrace - sRequestEndMargin;
+    // The answers of a step are sent after it.
+    step.exit = mRequestsEnded && elapsed >= mGrace - sExitMargin;
     mRequestsEnded = mRequestsEnded || step.endRequests;
-    step.exit = elapsed >= mGrace - sExitMargin;
     if (step.exit || (elapsed < sBalancerRemovalTime && !mRequestsEnded))
         return step;
     step.closeIdle = !mIdleClosed;
--- a/tests/unit/forwarding_drain_schedule_test.cpp
+++ b/tests/unit/forwarding_drain_schedule_test.cpp
@@ -64,6 +64,19 @@
     CHECK(exit < grace);
 }
 
+// Failure: the event loop is late by more than the margins at the end, so that one step ends the
+// requests and exits, and the answers are never sent.
+TEST_CASE("an instance whose loop is late sends the answers of its last step before it exits")
+{
+    const core::duration elapsed = GENERATE(7599ms, 7849ms, 7850ms, 7990ms);
+    drain_schedule schedule(cBegan, 8s);
+    static_cast<void>(schedule.next(cBegan + 5s, 2, 2));
+    const drain_step last = schedule.next(cBegan + elapsed, 2, 2);
+    CHECK_FALSE(last.exit);
+    CHECK(last.endRequests == (elapsed >= 7600ms));
+    CHECK(schedule.next(cBegan + 8s, 0, 2).exit == last.endRequests);
+}
+
 TEST_CASE("an instance whose requests were ended exits when their answers were sent")
 {
     drain_schedule schedule(cBegan, 8s);
