Admit requests held for the first message at one event

Cause: two clocks decided when the wait is over. A one-shot timer began the kept requests, while the boot clock decided whether a request is kept. Timers of the loop fire some milliseconds early, and a request that arrived in between was kept after the last event that would begin it. Kept requests had no time limit of their own either.

A request is now always a forwarded_request with its deadline running from its arrival. While the wait lasts, its admission is held. One flag says whether the wait is over; it is set where the held requests are admitted: at the first message, the timer, or the drain. The boot clock no longer takes part.

--- a/corneltally/forwarding/forwarded_request.cpp
+++ b/corneltally/forwarding/forwarded_request.cpp
@@ -73,17 +73,31 @@
     uncountLoad();
 }
 
-void forwarded_request::start()
+void forwarded_request::start(bool inHoldsAdmission)
 {
     mTerms = platform::decodeRequest(mRequest.head);
     if (!mTable) {
         refuse(503, "no configuration is known yet", retryAfter());
         return;
     }
-    if (!resolveRoute() || !admit())
+    if (!resolveRoute())
         return;
     mDeadline.startOnce(std::max(core::duration::zero(), timeLeft()));
-    chooseAndSend();
+    mAdmissionHeld = inHoldsAdmission;
+    if (!mAdmissionHeld)
+        admitAndSend();
+}
+
+void forwarded_request::admitHeld()
+{
+    if (mState != state::done && std::exchange(mAdmissionHeld, false))
+        admitAndSend();
+}
+
+void forwarded_request::admitAndSend()
+{
+    if (admit())
+        chooseAndSend();
 }
 
 bool forwarded_request::resolveRoute()
--- a/corneltally/forwarding/forwarded_request.h
+++ b/corneltally/forwarding/forwarded_request.h
@@ -39,7 +39,11 @@
     forwarded_request(const forwarded_request &) = delete;
     forwarded_request &operator=(const forwarded_request &) = delete;
 
-    void start();
+    /// With inHoldsAdmission the request is admitted only by admitHeld(). It is refused if its time
+    /// ends before.
+    void start(bool inHoldsAdmission);
+    /// Admits the request if it waits for that.
+    void admitHeld();
 
     /// Called when the caller has closed its connection; cancels the work at the endpoint.
     void callerLeft();
@@ -82,6 +86,7 @@
 
     bool resolveRoute();
     bool admit();
+    void admitAndSend();
     bool admitParts();
     std::uint64_t contentHash() const;
     void restrictRegions(const routing::client_account *inAccount);
@@ -209,6 +214,8 @@
     bool mAnswerStarted = false;
     bool mBuffersAnswer = false;
     double mChargedAmount = 0;
+    /// Whether the request waits for admitHeld().
+    bool mAdmissionHeld = false;
     /// Whether the request waits until requests may be sent again.
     bool mHeld = false;
     bool mWaitingCounted = false;
--- a/corneltally/forwarding/front_service.cpp
+++ b/corneltally/forwarding/front_service.cpp
@@ -53,7 +53,7 @@
     , mPruneTimer(ioRegistry.loop(), [this] { prune(); })
     , mListener(ioRegistry.loop(), [this](int inSocket) { accept(inSocket); })
     , mBodyBudget(std::make_shared<http1::body_budget>(mOptions.bodyBudgetBytes))
-    , mEarlyTimer(ioRegistry.loop(), [this] { beginEarlyRequests(); })
+    , mFirstMessageTimer(ioRegistry.loop(), [this] { endFirstMessageWait(); })
     , mHoldTimer(ioRegistry.loop(), [this] { releaseSends(false); })
 {
     ioRegistry.handle<catalog::configuration_changed>(
@@ -150,8 +150,7 @@
 void front_service::start()
 {
     mPruneTimer.startRepeating(cPrunePeriod);
-    mStartedAt = core::boot_clock::now();
-    mEarlyTimer.startOnce(mOptions.firstMessageTimeout);
+    mFirstMessageTimer.startOnce(mOptions.firstMessageTimeout);
 }
 
 bool front_service::ready() const
@@ -161,7 +160,7 @@
 
 std::size_t front_service::running() const
 {
-    return mRunning + mEarlyRequests.size();
+    return mRunning;
 }
 
 std::size_t front_service::unfinished() const
@@ -198,45 +197,31 @@
     caller &entry = mCallers.at(inCaller);
     if (mDraining)
         entry.connection->closeWhenIdle();
-    if (awaitsFirstMessage())
-        mEarlyRequests.insert_or_assign(inCaller, std::move(inRequest));
-    else
-        beginRequest(inCaller, std::move(inRequest));
+    destroyLater(std::move(entry.request), nullptr);
+    entry.request
+        = std::make_unique<forwarded_request>(mContext, *entry.connection, std::move(inRequest),
+                                              [this, inCaller] { requestEnded(inCaller); });
+    ++mRunning;
+    entry.request->start(awaitsFirstMessage());
 }
 
 /// An instance that has just started does not know yet which requests end the endpoints that run
 /// them, nor what the others admit.
 bool front_service::awaitsFirstMessage() const
 {
-    return mHasPeers && !mHasHeardPeer && !mDraining && mContext.table != nullptr
-        && core::boot_clock::now() - mStartedAt < mOptions.firstMessageTimeout;
+    return mHasPeers && !mFirstMessageWaitEnded;
 }
 
-void front_service::messageReceived()
+/// Admits the requests that wait. Called on the first message, at the end of the time for it, and
+/// when the instance begins to drain.
+void front_service::endFirstMessageWait()
 {
-    if (mHasHeardPeer)
+    if (mFirstMessageWaitEnded)
         return;
-    mHasHeardPeer = true;
-    beginEarlyRequests();
-}
-
-void front_service::beginEarlyRequests()
-{
-    for (auto &[caller, request] : std::exchange(mEarlyRequests, {})) {
-        if (mCallers.contains(caller))
-            beginRequest(caller, std::move(request));
-    }
-}
-
-void front_service::beginRequest(std::uint64_t inCaller, http1::server_request inRequest)
-{
-    caller &entry = mCallers.at(inCaller);
-    destroyLater(std::move(entry.request), nullptr);
-    entry.request
-        = std::make_unique<forwarded_request>(mContext, *entry.connection, std::move(inRequest),
-                                              [this, inCaller] { requestEnded(inCaller); });
-    ++mRunning;
-    entry.request->start();
+    mFirstMessageWaitEnded = true;
+    mFirstMessageTimer.cancel();
+    for (forwarded_request *request : requests())
+        request->admitHeld();
 }
 
 void front_service::requestEnded(std::uint64_t inCaller)
@@ -255,7 +240,6 @@
         return;
     caller entry = std::move(found->second);
     mCallers.erase(found);
-    mEarlyRequests.erase(inCaller);
     if (entry.request) {
         entry.request->callerLeft();
     }
@@ -428,7 +412,7 @@
         quarantineReported(beat->quarantine);
         peerSaysLeaving(inReceived.instance, beat->leaving);
         mContext.endpoints.applyPeerCold(beat->cold, now);
-        messageReceived();
+        endFirstMessageWait();
     } else if (const auto *reply = std::get_if<fleet::permit_reply>(&inReceived.body)) {
         mContext.permits.replied(*reply);
     }
@@ -453,7 +437,7 @@
         engineStateReceived(engine.holder, engine.state);
     quarantineReported(inSummary.quarantine);
     mContext.endpoints.applyPeerCold(inSummary.cold, now);
-    messageReceived();
+    endFirstMessageWait();
 }
 
 void front_service::quarantineReported(const quarantine::quarantine_state &inState)
@@ -528,7 +512,7 @@
 {
     mDraining = true;
     mContext.stopAt = inEnd;
-    beginEarlyRequests();
+    endFirstMessageWait();
 }
 
 void front_service::endRequests()
--- a/corneltally/forwarding/front_service.h
+++ b/corneltally/forwarding/front_service.h
@@ -96,10 +96,8 @@
 
     void accept(int inSocket);
     void requestArrived(std::uint64_t inCaller, http1::server_request inRequest);
-    void beginRequest(std::uint64_t inCaller, http1::server_request inRequest);
     bool awaitsFirstMessage() const;
-    void messageReceived();
-    void beginEarlyRequests();
+    void endFirstMessageWait();
     void requestEnded(std::uint64_t inCaller);
     void callerClosed(std::uint64_t inCaller);
     void configurationChanged(const catalog::configuration_changed &inChanged);
@@ -129,14 +127,13 @@
     std::shared_ptr<http1::body_budget> mBodyBudget;
     std::map<std::uint64_t, caller> mCallers;
     std::uint64_t mNextCaller = 1;
-    /// Requests that arrived before the first message of another instance, by caller.
-    std::map<std::uint64_t, http1::server_request> mEarlyRequests;
-    kernel::timer mEarlyTimer;
+    kernel::timer mFirstMessageTimer;
     kernel::timer mHoldTimer;
     core::time_point mHeldSince;
-    core::time_point mStartedAt;
     bool mHasPeers = false;
-    bool mHasHeardPeer = false;
+    /// Whether the wait for the first message of another instance is over. Set only where the held
+    /// requests are admitted, so that none is held afterwards.
+    bool mFirstMessageWaitEnded = false;
     std::size_t mRunning = 0;
     routing::unserved_restrictions mUnservedRestrictions;
     int mColdEndpoints = 0;
