Stop reading a resumed stream for a caller that does not read

An answer was read into memory without limit: 60 MB for one caller that read nothing, where reading should stop at 256 KiB unsent.

Cause: if an attempt ended while reading was stopped for the caller, the request still counted reading as stopped on the connection of its next attempt, so it never stopped there. The mark is cleared with each attempt.

--- a/corneltally/forwarding/forwarded_request.cpp
+++ b/corneltally/forwarding/forwarded_request.cpp
@@ -324,6 +324,7 @@
     mHeadReceived = false;
     mAnswerAsksPause = false;
     mBuffersAnswer = false;
+    mUpstreamReadPaused = false;
     // Its body is cleared as well.
     mFailureAnswerStored = false;
     mBody.clear();
