Do not spin while an older version of an adapter arrives

A request that needs a newer version of its adapter than the one that is arriving at the engine kept the event loop busy from 900 ms after it began to wait until the older load ended or its time was over. On an instance with a small share of a core all others of its callers wait for that.

Cause: the timer for the begin of the load was started again at once with no delay left, as the load of the older version counted as expected. It now looks again after the pause between tries of a load.

--- a/corneltally/forwarding/forwarded_request_adapter.cpp
+++ b/corneltally/forwarding/forwarded_request_adapter.cpp
@@ -7,6 +7,7 @@
 #include "corneltally/kernel/service_registry.h"
 #include "corneltally/orders/order_messages.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace corneltally::forwarding {
@@ -96,8 +97,11 @@
     if (arriving != target->adapters.arriving.end())
         uncountWaiting();
     if (arriving == target->adapters.arriving.end() || arriving->second.version < mWork.version) {
-        mAdapterTimer.startOnce(std::max(core::duration::zero(),
-                                         mWaitingSince + mContext.settings.loadStartTimeout - now));
+        core::duration left = mWaitingSince + mContext.settings.loadStartTimeout - now;
+        // The load of the newer version can begin only after the load of the older one.
+        if (arriving != target->adapters.arriving.end())
+            left = std::max(left, mContext.settings.loadRetryPause);
+        mAdapterTimer.startOnce(std::max(core::duration::zero(), left));
     } else if (arriving->second.readyAt <= now) {
         send();
     } else {
