Close idle connections only once the caller has received the last answer

Callers would see an answer that ends early with a reset: one that reads slowly and sends its next request before it has read all of the last answer meets a closed connection, and the reset discards what the socket still held. Brought in by closing idle connections in full, found by the review of that change.

Change: an idle connection is closed once the caller has acknowledged the answer.

Measured: the new case of http1_closing_test got 4,096 of 150,043 bytes before and gets all now.

--- a/corneltally/http1/server_connection.cpp
+++ b/corneltally/http1/server_connection.cpp
@@ -141,7 +141,8 @@
         armIdleTimer();
         return;
     }
-    if (mStream.hasInput()) {
+    // The reset of a later request would discard what the caller has not received yet.
+    if (mStream.hasInput() || !mStream.isAcknowledged()) {
         armTimer(cQuietTime);
         return;
     }
