Exit a late draining instance only after it has sent its last answers

Callers saw: a request that ran until the end of the grace period got no answer where the instance's event loop was late at that time.

Cause: requests are ended 400 ms before the end of the grace period and the process exits 150 ms before it. A loop that does not run between these times takes both steps at once: the answers of the ended requests are written to buffers, and the loop stops before it passes them to the sockets.

Change: the step that ends the requests is never the last one. The process exits one period (50 ms) later, after the loop has written to the sockets.

--- a/corneltally/forwarding/drain_schedule.cpp
+++ b/corneltally/forwarding/drain_schedule.cpp
@@ -17,7 +17,8 @@
     step.stopListening = elapsed >= mGrace - sListenStopMargin;
     step.endRequests = !mRequestsEnded && elapsed >= mGrace - sRequestEndMargin;
     mRequestsEnded = mRequestsEnded || step.endRequests;
-    step.exit = elapsed >= mGrace - sExitMargin;
+    // The answers of ended requests are sent only after this step.
+    step.exit = !step.endRequests && elapsed >= mGrace - sExitMargin;
     if (step.exit || (elapsed < sBalancerRemovalTime && !mRequestsEnded))
         return step;
     step.closeIdle = !mIdleClosed;
--- a/tests/integration/site_forwarding_test.cpp
+++ b/tests/integration/site_forwarding_test.cpp
@@ -560,6 +560,31 @@
     CHECK(refused > 0);
 }
 
+// Failure: the process does not run while the requests are to be ended, ends them in the step in
+// which it exits, and their answers are not sent.
+TEST_CASE("an order that a late instance ends before it exits is answered")
+{
+    site_fixture fixture({.instances = 1,
+                          .applicationFlags = {"--work-ms", "3800", "--slots", "50"},
+                          .stopMs = 3000});
+    standins::child_process &instance = fixture.fleet.process("edge-1");
+    http::response answer;
+    std::thread caller([&answer, call = fixture.makeCall({.path = "/order/1", .id = "long"})] {
+        standins::http_probe probe;
+        answer = probe.call(call);
+    });
+    CHECK(site::waitFor([&] { return !fixture.runsOf("long").empty(); }));
+    instance.signal(SIGTERM);
+    std::this_thread::sleep_for(2500ms);
+    instance.signal(SIGSTOP);
+    std::this_thread::sleep_for(400ms);
+    instance.signal(SIGCONT);
+    caller.join();
+    CHECK(answer.outcome == http::call_outcome::completed);
+    CHECK(answer.status == 502);
+    CHECK(instance.waitExit(10s) == 0);
+}
+
 TEST_CASE("a reload takes the new settings, and a faulty file leaves the former ones in force")
 {
     site_fixture fixture;
--- a/tests/unit/forwarding_drain_schedule_test.cpp
+++ b/tests/unit/forwarding_drain_schedule_test.cpp
@@ -72,3 +72,16 @@
     CHECK(schedule.next(cBegan + 7620ms, 0, 0).stopListening);
     CHECK(schedule.next(cBegan + 7830ms, 0, 0).exit);
 }
+
+// Failure: the event loop is late at the end of the grace period; the process exits in the step
+// that ends the requests, before their answers are written to the sockets.
+TEST_CASE("an instance whose event loop is late sends the answers of the requests that it ends")
+{
+    const core::duration late = GENERATE(7850ms, 7900ms, 8100ms);
+    drain_schedule schedule(cBegan, 8s);
+    CHECK_FALSE(schedule.next(cBegan + 7590ms, 1, 1).exit);
+    const drain_step step = schedule.next(cBegan + late, 1, 1);
+    CHECK(step.endRequests);
+    CHECK_FALSE(step.exit);
+    CHECK(schedule.next(cBegan + late + 50ms, 0, 0).exit);
+}
