Test late requests also on connections that have served one

The case of a request that waits in the socket used a new connection only, which waits a second for its first request and so never gets to the look at the input.

--- a/tests/unit/http1_closing_test.cpp
+++ b/tests/unit/http1_closing_test.cpp
@@ -123,13 +123,19 @@
 // waits in its socket, reads the request afterwards and drops it.
 TEST_CASE("a request that waits in the socket when the connection is closed as idle is answered")
 {
+    // A connection that has had a request is closed at once when it has been idle for long.
+    const bool hadRequest = GENERATE(false, true);
     closing_server server;
     direct_caller caller(server);
+    if (hadRequest) {
+        caller.send(cRequest);
+        server.run(300ms);
+    }
     caller.send(cRequest);
     server.connection->closeWhenIdle();
     CHECK(server.connection->unfinished());
     server.run(100ms);
-    CHECK(caller.answers() == 1);
+    CHECK(caller.answers() == (hadRequest ? 2 : 1));
     CHECK(caller.toldOfClose());
     CHECK(caller.ended());
 }
