--- a/tests/integration/site_forwarding_test.cpp
+++ b/tests/integration/site_forwarding_test.cpp
@@ -7,6 +7,7 @@
 #include "tests/integration/endless_endpoint.h"
 
 #include <algorithm>
+#include <array>
 #include <atomic>
 #include <csignal>
 #include <fstream>
@@ -585,6 +586,35 @@
     CHECK(instance.waitExit(10s) == 0);
 }
 
+// Failure: the process does not run while its idle connections are to be closed, and exits in the
+// step in which it reads a request that has waited in the socket.
+TEST_CASE("a request that reaches a late instance on a kept connection is answered before the exit")
+{
+    site_fixture fixture({.instances = 1, .stopMs = 3000});
+    standins::child_process &instance = fixture.fleet.process("edge-1");
+    const http::call_request call = fixture.makeCall({.path = "/order/1"});
+    std::string text = call.method + " " + call.path + " HTTP/1.1\r\n";
+    for (const auto &[name, value] : call.headers)
+        text.append(name).append(": ").append(value).append("\r\n");
+    text += "Content-Length: " + std::to_string(call.body.size()) + "\r\n\r\n" + call.body;
+    const int caller = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in target{.sin_family = AF_INET, .sin_port = htons(call.target.port)};
+    target.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    REQUIRE(connect(caller, reinterpret_cast<const sockaddr *>(&target), sizeof target) == 0);
+    REQUIRE(write(caller, text.data(), text.size()) == std::ssize(text));
+    std::array<char, 4096> bytes{};
+    REQUIRE(read(caller, bytes.data(), bytes.size()) > 0);
+    instance.signal(SIGTERM);
+    std::this_thread::sleep_for(2300ms);
+    instance.signal(SIGSTOP);
+    REQUIRE(write(caller, text.data(), text.size()) == std::ssize(text));
+    std::this_thread::sleep_for(600ms);
+    instance.signal(SIGCONT);
+    CHECK(read(caller, bytes.data(), bytes.size()) > 0);
+    close(caller);
+    CHECK(instance.waitExit(10s) == 0);
+}
+
 TEST_CASE("a reload takes the new settings, and a faulty file leaves the former ones in force")
 {
     site_fixture fixture;
