Exit a draining instance one step after its event loop was late

Callers saw: a request that was sent on an open connection shortly before a late instance exited got no answer, although the instance had read it.

Cause: the exit 150 ms before the end of the grace period stops the loop in the middle of an iteration. If the loop was late, the sockets were read just before in the same iteration, and what they held is not parsed yet.

Change: the process exits with the second step in its last part (50 ms later), so that one iteration answers what was read. This includes the case of requests that are ended late.

--- a/corneltally/forwarding/drain_schedule.cpp
+++ b/corneltally/forwarding/drain_schedule.cpp
@@ -17,8 +17,11 @@
     step.stopListening = elapsed >= mGrace - sListenStopMargin;
     step.endRequests = !mRequestsEnded && elapsed >= mGrace - sRequestEndMargin;
     mRequestsEnded = mRequestsEnded || step.endRequests;
-    // The answers of ended requests are sent only after this step.
-    step.exit = !step.endRequests && elapsed >= mGrace - sExitMargin;
+    // A late event loop may have read requests, and ended others, whose answers it has not sent
+    // yet.
+    const bool isLastPart = elapsed >= mGrace - sExitMargin;
+    step.exit = isLastPart && mInLastPart;
+    mInLastPart = isLastPart;
     if (step.exit || (elapsed < sBalancerRemovalTime && !mRequestsEnded))
         return step;
     step.closeIdle = !mIdleClosed;
--- a/corneltally/forwarding/drain_schedule.h
+++ b/corneltally/forwarding/drain_schedule.h
@@ -40,7 +40,7 @@
     static constexpr core::duration sListenStopMargin = std::chrono::milliseconds(1000);
     /// Requests are ended this long before the end of the grace period.
     static constexpr core::duration sRequestEndMargin = std::chrono::milliseconds(400);
-    /// The process exits this long before the end of the grace period.
+    /// The process exits with the second step after this time before the end of the grace period.
     static constexpr core::duration sExitMargin = std::chrono::milliseconds(150);
     /// An instance without requests waits for this long before it exits.
     static constexpr core::duration sSettleTime = std::chrono::milliseconds(200);
@@ -50,6 +50,8 @@
     core::duration mGrace;
     bool mIdleClosed = false;
     bool mRequestsEnded = false;
+    /// Whether the last step was within the exit margin.
+    bool mInLastPart = false;
     std::optional<core::time_point> mSettledSince;
 };
 
--- a/tests/integration/site_forwarding_test.cpp
+++ b/tests/integration/site_forwarding_test.cpp
@@ -615,6 +615,34 @@
     CHECK(instance.waitExit(10s) == 0);
 }
 
+// Failure: the process does not run just before it exits, and exits in the iteration of its event
+// loop in which it reads a request that has waited in the socket.
+TEST_CASE("a request that reaches a late instance just before its exit is answered")
+{
+    site_fixture fixture({.instances = 1, .stopMs = 3000});
+    standins::child_process &instance = fixture.fleet.process("edge-1");
+    const http::call_request call = fixture.makeCall({.path = "/order/1"});
+    std::string text = call.method + " " + call.path + " HTTP/1.1\r\n";
+    for (const auto &[name, value] : call.headers)
+        text.append(name).append(": ").append(value).append("\r\n");
+    text += "Content-Length: " + std::to_string(call.body.size()) + "\r\n\r\n" + call.body;
+    instance.signal(SIGTERM);
+    std::this_thread::sleep_for(1900ms);
+    const int caller = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in target{.sin_family = AF_INET, .sin_port = htons(call.target.port)};
+    target.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    REQUIRE(connect(caller, reinterpret_cast<const sockaddr *>(&target), sizeof target) == 0);
+    std::this_thread::sleep_for(820ms);
+    instance.signal(SIGSTOP);
+    REQUIRE(write(caller, text.data(), text.size()) == std::ssize(text));
+    std::this_thread::sleep_for(140ms);
+    instance.signal(SIGCONT);
+    std::array<char, 4096> bytes{};
+    CHECK(read(caller, bytes.data(), bytes.size()) > 0);
+    close(caller);
+    CHECK(instance.waitExit(10s) == 0);
+}
+
 TEST_CASE("a reload takes the new settings, and a faulty file leaves the former ones in force")
 {
     site_fixture fixture;
--- a/tests/unit/forwarding_drain_schedule_test.cpp
+++ b/tests/unit/forwarding_drain_schedule_test.cpp
@@ -85,3 +85,13 @@
     CHECK_FALSE(step.exit);
     CHECK(schedule.next(cBegan + late + 50ms, 0, 0).exit);
 }
+
+// Failure: the event loop is late after the requests were ended; the process exits in the iteration
+// in which it reads requests that have waited in their sockets.
+TEST_CASE("an instance whose event loop is late does not exit in its first step after that")
+{
+    drain_schedule schedule(cBegan, 8s);
+    CHECK(schedule.next(cBegan + 7600ms, 0, 1).endRequests);
+    CHECK_FALSE(schedule.next(cBegan + 7900ms, 0, 1).exit);
+    CHECK(schedule.next(cBegan + 7950ms, 0, 1).exit);
+}
