Answer requests that a late entry instance reads at a time limit

Callers saw: a request sent on an open connection of an entry instance whose event loop was late got no answer, although it had been handled.

Cause: the timer of the connection's deadline and the bytes that had waited in its socket come in one iteration. Timers run before the deferred handler of the bytes, so the deadline queues the end of the connection, the request is handled and answered, and the connection is freed before the answer is sent.

Change: a deadline that is due takes effect one iteration later, unless what was read has replaced it.

Measured: the test failed for an idle connection and for a request of which 30 bytes or all but the last one had arrived before; it passes now, and so do http_loopback_test, http_broken_response_test and http_endless_response_test.

--- a/corneltally/http/server.cpp
+++ b/corneltally/http/server.cpp
@@ -7,6 +7,7 @@
 
 #include <optional>
 #include <unordered_map>
+#include <utility>
 
 #include <arpa/inet.h>
 #include <evhtp.h>
@@ -53,7 +54,13 @@
     void startDeadline(evhtp_connection_t *inConnection, core::duration inTimeout)
     {
         connection_state &state = connections[inConnection];
-        state.deadline.emplace(loop, [inConnection] {
+        // Where the event loop is late, bytes that arrived in time are handled in the iteration in
+        // which the timer is due, after it. They may end this deadline.
+        state.deadline.emplace(loop, [this, inConnection, wasDue = false]() mutable {
+            if (!std::exchange(wasDue, true)) {
+                connections[inConnection].deadline->startOnce(core::duration::zero());
+                return;
+            }
             bufferevent_trigger_event(evhtp_connection_get_bev(inConnection), BEV_EVENT_EOF,
                                       BEV_TRIG_DEFER_CALLBACKS);
         });
