Read again on a connection that is kept for the next request

Callers saw a request without an answer until its time was over (504), though the endpoint answered at once: the request before it on the same connection to the endpoint had ended while reading was stopped, since the caller's buffer held more than maxUnsentBytes. The connection went back to the pool in that state, so that neither the next answer nor the end of the connection was read.

Reading is now resumed at the end of each exchange, whoever stopped it.

The test failed before (504 after 1.98 s in place of 200) and passes with the change.

--- a/corneltally/http1/client_connection.cpp
+++ b/corneltally/http1/client_connection.cpp
@@ -205,6 +205,8 @@
         mReusable = false;
     if (!mReusable)
         mStream.close();
+    // The receiver may have stopped it for this response only.
+    mStream.setReading(true);
     const auto handler = std::exchange(mEvents, {}).onEnd;
     // The forwarding code uses the reason as a label value of attempts_failed_total, so the texts
     // must stay as they are.
--- a/corneltally/http1/client_connection.h
+++ b/corneltally/http1/client_connection.h
@@ -75,6 +75,7 @@
     /// Whether any byte of the current request may have reached the server.
     bool sent() const { return mStream.sentBytes() > mSentBefore; }
 
+    /// Stops or resumes reading until the end of the exchange.
     void setReading(bool inReading) { mStream.setReading(inReading); }
 
 private:
