Wait for a newer adapter version without a busy event loop

While an engine loads an older version of an adapter than the one that was named, a request for it that had waited for 900 ms started its timer with no delay again and again until its time was over: the load in progress counted as the expected one, whatever its version. The event loop was busy all the time; on an instance with a small part of a core every other request there is late.

Only a load of the wanted version counts now. As the newer load can't start before the older one has ended, the request waits for it until 900 ms after that, with one timer, and then chooses again.

--- a/corneltally/forwarding/forwarded_request.h
+++ b/corneltally/forwarding/forwarded_request.h
@@ -121,6 +121,8 @@
     void passFailure();
     bool retryWhenLoaded(std::string_view inReason);
     bool isAdapterResident() const;
+    bool isAdapterArriving(const engines::endpoint &inTarget) const;
+    core::time_point loadStartLimit(const engines::endpoint &inTarget) const;
     void finish(int inStatus, std::string_view inOutcome, std::string_view inReason);
     void cancelAttempt();
     bool isUnsent() const;
--- a/corneltally/forwarding/forwarded_request_adapter.cpp
+++ b/corneltally/forwarding/forwarded_request_adapter.cpp
@@ -7,6 +7,7 @@
 #include "corneltally/kernel/service_registry.h"
 #include "corneltally/orders/order_messages.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace corneltally::forwarding {
@@ -76,6 +77,24 @@
     return found != target->adapters.resident.end() && found->second >= mWork.version;
 }
 
+bool forwarded_request::isAdapterArriving(const engines::endpoint &inTarget) const
+{
+    const auto found
+        = inTarget.adapters.arriving.find(engines::adapterKey(mWork.model, mWork.adapter));
+    return found != inTarget.adapters.arriving.end() && found->second.version >= mWork.version;
+}
+
+/// When the load should have started. It can't start while an older version is being loaded.
+core::time_point forwarded_request::loadStartLimit(const engines::endpoint &inTarget) const
+{
+    const auto older
+        = inTarget.adapters.arriving.find(engines::adapterKey(mWork.model, mWork.adapter));
+    const core::time_point from = older == inTarget.adapters.arriving.end()
+        ? mWaitingSince
+        : std::max(mWaitingSince, older->second.readyAt);
+    return from + mContext.settings.loadStartTimeout;
+}
+
 /// Sends a waiting request if its adapter is loaded; otherwise starts a timer for the time at which
 /// the load should have started or ended.
 void forwarded_request::sendOrAwaitAdapter()
@@ -96,8 +115,7 @@
     if (arriving != target->adapters.arriving.end())
         uncountWaiting();
     if (arriving == target->adapters.arriving.end() || arriving->second.version < mWork.version) {
-        mAdapterTimer.startOnce(std::max(core::duration::zero(),
-                                         mWaitingSince + mContext.settings.loadStartTimeout - now));
+        mAdapterTimer.startOnce(std::max(core::duration::zero(), loadStartLimit(*target) - now));
     } else if (arriving->second.readyAt <= now) {
         send();
     } else {
@@ -124,9 +142,8 @@
         return;
     const core::time_point now = core::boot_clock::now();
     const engines::endpoint *target = mContext.endpoints.find(mChoice.endpoint);
-    const std::string key = engines::adapterKey(mWork.model, mWork.adapter);
     const bool expected = target != nullptr
-        && (target->adapters.arriving.contains(key) || isAdapterResident() || mLoadRetries > 0);
+        && (isAdapterArriving(*target) || isAdapterResident() || mLoadRetries > 0);
     if (expected) {
         if (mLoadRetries > 0 && mayReceive(*target))
             send();
@@ -134,7 +151,7 @@
             sendOrAwaitAdapter();
         return;
     }
-    if (now - mWaitingSince < mContext.settings.loadStartTimeout) {
+    if (target == nullptr || now < loadStartLimit(*target)) {
         sendOrAwaitAdapter();
         return;
     }
