--- a/corneltally/http1/server_connection.h
+++ b/corneltally/http1/server_connection.h
@@ -41,6 +41,21 @@
     body_budget::reservation reservation;
 };
 
+/// Why a connection to a caller ended.
+enum class connection_end {
+    open,
+    /// The caller closed it, or it failed.
+    caller,
+    idle_timeout,
+    /// The instance was asked to close it once it was idle.
+    closed_idle,
+    /// The last answer announced the close, and the caller did not close its side in time.
+    linger_timeout,
+    aborted
+};
+
+std::string_view toString(connection_end inEnd);
+
 /// Server side of an HTTP/1.1 connection. Reads one request at a time and writes its response.
 /// While the caller leaves many bytes of responses unread, no further request is read.
 class server_connection
@@ -79,16 +94,19 @@
     /// Closes the connection within a response, so that the caller can't take it for complete.
     void abort();
 
-    /// Closes the connection: at once if it is idle, else after the current response.
+    /// Closes the connection: if it is idle and no request has arrived, soon, else after the
+    /// response that announces it. Calls no handler before it returns.
     void closeWhenIdle();
 
     bool busy() const { return mBusy; }
-    /// Whether a request has begun to arrive that is not yet answered in full.
-    bool unfinished() const
-    {
-        return mPhase == phase::reading || mBusy || mStream.unsentBytes() > 0
-            || mResume.isPending();
-    }
+    /// Whether a request has begun to arrive, or may be expected on a new connection, that is not
+    /// yet answered in full.
+    bool unfinished() const;
+    /// Whether bytes of a request arrived that were not read.
+    bool hasInput() const { return mStream.hasInput(); }
+    /// Bytes that arrived after the instance had closed its side, and were not answered.
+    std::size_t discardedBytes() const { return mDiscardedBytes; }
+    connection_end end() const { return mEnd; }
     bool headSent() const { return mHeadSent; }
     std::size_t unsentBytes() const { return mStream.unsentBytes(); }
 
@@ -105,10 +123,12 @@
     void linger();
     void discardInput();
     void endLinger();
-    void closed();
+    void closed(connection_end inEnd);
     void armTimer(core::duration inDelay);
     void armIdleTimer();
     void timedOut();
+    void idleTimedOut();
+    bool awaitsFirstRequest() const;
     void writeHead(response_head &ioHead);
 
     socket_stream mStream;
@@ -123,10 +143,13 @@
     body_budget::reservation mReservation;
     /// Bytes of a refused body that the caller has yet to send.
     std::uint64_t mUnreadBytes = 0;
+    std::size_t mDiscardedBytes = 0;
+    connection_end mEnd = connection_end::open;
     core::time_point mArrived;
     core::time_point mIdleSince;
     phase mPhase = phase::idle;
     bool mBusy = false;
+    bool mHadRequest = false;
     bool mHeadSent = false;
     bool mChunked = false;
     /// Whether the response has neither a length nor chunks.
