Test that a broken-off answer leaves the answers before it whole (fails)

server_connection::abort() closes the socket with the bytes that were not yet passed to it, also those of answers that ended before on the same connection.

--- a/tests/unit/http1_connection_end_test.cpp
+++ b/tests/unit/http1_connection_end_test.cpp
@@ -68,3 +68,35 @@
     caller.receive(1000);
     CHECK(caller.received.starts_with("HTTP/1.1 200"));
 }
+
+// Failure: a caller that sends a request before it has read the last answer does not get the rest
+// of that answer when the next one is broken off.
+TEST_CASE("an answer that is broken off leaves the answers before it whole")
+{
+    const std::string body(60'000, 'x');
+    one_connection_server server;
+    server.answers = false;
+    raw_caller caller(server.listener.port(), 4096);
+    int answered = 0;
+    do {
+        caller.send(cRequest);
+        server.settle(20ms);
+        REQUIRE(server.requests == ++answered);
+        server.connection->respond({.status = 200}, body);
+        server.settle(20ms);
+    } while (server.connection->unsentBytes() == 0 && answered < 1000);
+    caller.send(cRequest);
+    server.settle(20ms);
+    REQUIRE(server.requests == answered + 1);
+    server.connection->startResponse({.status = 200}, std::nullopt);
+    server.connection->sendBody("a part");
+    server.connection->abort();
+    for (int step = 0; step < 1000 && caller.receive(60'000); ++step)
+        server.settle(1ms);
+    int whole = 0;
+    for (std::size_t at = caller.received.find(body); at != std::string::npos;
+         at = caller.received.find(body, at + body.size()))
+        ++whole;
+    CHECK(whole == answered);
+    CHECK_FALSE(caller.received.ends_with("0\r\n\r\n"));
+}
