Send what was written before a response that is broken off

A caller that sent its next request before it had read the last answer lost the rest of that answer when the next one was broken off: the connection was closed with bytes that had not been passed to the socket.

Change: a broken-off response with a length or chunks ends the connection as the last response does, after all bytes were sent; its missing end shows that it is not whole. One that ends with its connection is still reset.

--- a/corneltally/http1/server_connection.cpp
+++ b/corneltally/http1/server_connection.cpp
@@ -388,9 +388,14 @@
 void server_connection::abort()
 {
     mBusy = false;
-    if (mEndsWithConnection)
+    if (mEndsWithConnection) {
         mStream.reset();
-    closed(connection_end::aborted);
+        closed(connection_end::aborted);
+        return;
+    }
+    // The missing end shows that the response is not whole. Responses before it are.
+    mKeepAlive = false;
+    linger();
 }
 
 void server_connection::closeWhenIdle()
--- a/corneltally/http1/server_connection.h
+++ b/corneltally/http1/server_connection.h
@@ -91,7 +91,8 @@
     void sendBody(std::string_view inData);
     void endResponse();
 
-    /// Closes the connection within a response, so that the caller can't take it for complete.
+    /// Closes the connection within a response, so that the caller can't take it for complete. What
+    /// was written before is sent.
     void abort();
 
     /// Closes the connection: if it is idle and no request has arrived, soon, else after the
