Use connections that were established while the event loop was late

Callers saw: nothing directly; attempts on an instance with a late event loop failed with "no connection" although the endpoint had accepted the connection.

Cause: the timer for the connection and the report that it is established come in one iteration, and the timer runs before the deferred handler of the report.

Change: a connect time that is over takes effect one iteration later.

Measured: the new case of http1_connections_test failed before and passes, with http1_upload_reset_test and forwarding_front_test.

--- a/corneltally/http1/client_connection.cpp
+++ b/corneltally/http1/client_connection.cpp
@@ -62,6 +62,12 @@
 
 void client_connection::connectTimeExpired()
 {
+    // Where the event loop is late, a connection that was established in time is reported in the
+    // iteration in which the timer is due, after it.
+    if (!std::exchange(mConnectTimeOver, true)) {
+        mConnectTimer.startOnce(core::duration::zero());
+        return;
+    }
     if (mRunning && mSendBefore && core::boot_clock::now() >= *mSendBefore) {
         mReusable = false;
         finish(exchange_end::kind::not_begun, "no connection in time");
@@ -96,6 +102,7 @@
     mSendBefore = inSendBefore;
     if (inSendBefore && !mConnected) {
         mUnsentRequest = formatHead(inHead).append(inBody);
+        mConnectTimeOver = false;
         mConnectTimer.startOnce(
             std::clamp(*inSendBefore - core::boot_clock::now(), core::duration(1), cConnectTime));
         return;
--- a/corneltally/http1/client_connection.h
+++ b/corneltally/http1/client_connection.h
@@ -101,6 +101,7 @@
     std::optional<core::time_point> mSendBefore;
     bool mRunning = false;
     bool mConnected = false;
+    bool mConnectTimeOver = false;
     bool mReusable = true;
     bool mHeadDelivered = false;
     bool mDropping = false;
--- a/tests/unit/http1_connections_test.cpp
+++ b/tests/unit/http1_connections_test.cpp
@@ -324,3 +324,12 @@
     const auto inTime = server.connect();
     CHECK(server.exchange(*inTime, "a", 2s).body == "ok");
 }
+
+// Failure: the event loop is late, and a connection that was established in time is given up.
+TEST_CASE("a connection that was established while the event loop was late is used")
+{
+    scripted_server server;
+    server.responses = {"HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 2\r\n\r\nok"};
+    const auto connection = server.connect();
+    CHECK(server.exchange(*connection, "a", std::nullopt, 500ms).end.outcome == kind::complete);
+}
