--- a/standins/child_process.h
+++ b/standins/child_process.h
@@ -44,6 +44,8 @@
     /// Waits until standard output is closed and returns what follows on what was read before.
     std::string readOutput(std::chrono::milliseconds inLimit);
 
+    /// Exit code of a process that has ended; nothing if a signal ended it.
+    std::optional<int> exitCode() const { return mExitCode; }
     /// Signal that ended the process; 0 if none did.
     int endSignal() const { return mEndSignal; }
 
--- a/tests/integration/site_forwarding_test.cpp
+++ b/tests/integration/site_forwarding_test.cpp
@@ -3,8 +3,10 @@
 // that would break it.
 
 #include "platform/names.h"
+#include "standins/caller_connection.h"
 #include "standins/site.h"
 #include "tests/integration/endless_endpoint.h"
+#include "tests/integration/site_fixture.h"
 
 #include <algorithm>
 #include <atomic>
@@ -29,89 +31,6 @@
 
 namespace {
 
-/// A request of a caller; the defaults make a proper one.
-struct caller_request
-{
-    std::string path = "/look/1";
-    std::string id;
-    std::string key = "key-harbour";
-    std::string adapter;
-    std::string parts;
-    /// The last part of the prompt, which belongs to the request alone.
-    std::string ownPart = "own:10";
-    std::string body;
-    int deadlineMs = 5000;
-    std::string instance = "edge-1";
-    std::chrono::milliseconds timeout = 20s;
-};
-
-struct site_fixture
-{
-    site fleet;
-    int requests = 0;
-
-    explicit site_fixture(standins::site_options inOptions = {})
-        : fleet(withFolders(std::move(inOptions)))
-    {
-        REQUIRE(fleet.start());
-    }
-
-    static standins::site_options withFolders(standins::site_options inOptions)
-    {
-        static int sCount = 0;
-        inOptions.binaries = CORNELTALLY_BINARY_DIR;
-        inOptions.folder = std::string(CORNELTALLY_BINARY_DIR) + "/site_forwarding_test."
-            + std::to_string(++sCount);
-        return inOptions;
-    }
-
-    http::call_request makeCall(caller_request inRequest)
-    {
-        if (inRequest.id.empty())
-            inRequest.id = "request-" + std::to_string(++requests);
-        http::call_request call{
-            .target = {"127.0.0.1", fleet.process(inRequest.instance).port("callers")},
-            .method = "POST",
-            .path = inRequest.path,
-            .body = inRequest.body.empty() ? "body of " + inRequest.id : inRequest.body,
-            .timeout = inRequest.timeout};
-        call.headers
-            = {{"Host", site::cHost},
-               {std::string(platform::cRequestIdField), inRequest.id},
-               {std::string(platform::cAuthorizationField),
-                std::string(platform::cAuthorizationScheme) + inRequest.key},
-               {std::string(platform::cTenantField), "forged"},
-               {std::string(platform::cDeadlineField), std::to_string(inRequest.deadlineMs)}};
-        if (!inRequest.adapter.empty()) {
-            call.headers.emplace_back(std::string(platform::cModelField),
-                                      std::string(site::cModel) + "/" + inRequest.adapter);
-            call.headers.emplace_back(std::string(platform::cTokenCountField), "100,20");
-        }
-        if (!inRequest.parts.empty())
-            call.headers.emplace_back(std::string(platform::cPromptPrefixField),
-                                      inRequest.parts + "," + inRequest.ownPart);
-        return call;
-    }
-
-    http::response call(caller_request inRequest = {})
-    {
-        return fleet.probe().call(makeCall(std::move(inRequest)));
-    }
-
-    std::vector<json> runsOf(const std::string &inId) const
-    {
-        std::vector<json> runs = fleet.facts("run");
-        std::erase_if(runs, [&](const json &inRun) { return inRun.at("request") != inId; });
-        return runs;
-    }
-
-    void faultOnAll(const std::string &inPrefix, const json &inFaults)
-    {
-        for (const std::string &name : fleet.names(inPrefix))
-            REQUIRE(fleet.setFaults(name, inFaults));
-    }
-};
-
 std::string wholeStream(const std::string &inId, int inEvents = 6)
 {
     std::string text;
@@ -124,10 +43,7 @@
 /// Sends a request and closes the connection without reading the answer once a condition holds.
 void callAndLeave(const http::call_request &inCall, const std::function<bool()> &inCondition)
 {
-    std::string text = inCall.method + " " + inCall.path + " HTTP/1.1\r\n";
-    for (const auto &[name, value] : inCall.headers)
-        text.append(name).append(": ").append(value).append("\r\n");
-    text += "Content-Length: " + std::to_string(inCall.body.size()) + "\r\n\r\n" + inCall.body;
+    const std::string text = standins::requestText(inCall);
     const int caller = socket(AF_INET, SOCK_STREAM, 0);
     sockaddr_in target{.sin_family = AF_INET, .sin_port = htons(inCall.target.port)};
     target.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
