Count requests that were read but not answered in the soak

A call that was sent whole before the caller could know of the close, and whose connection ends in an orderly way without an answer to it, is a violation unless the instance was killed meanwhile.

--- a/bench/soak_bench.cpp
+++ b/bench/soak_bench.cpp
@@ -105,6 +105,7 @@
     }
     const std::vector<std::string> &unexpected() const { return mUnexpected; }
     const std::map<std::string, std::vector<double>> &starts() const { return mStarts; }
+    const std::map<std::string, std::vector<double>> &kills() const { return mKills; }
     /// Targets of callers: all instances at their current addresses.
     static std::vector<corneltally::bench::soak_target> sTargets(site &ioFleet)
     {
@@ -171,7 +172,12 @@
         switch (pick(16)) {
         case 0:
             stopInstance(
-                instance, "killed", [this, instance] { mFleet.process(instance).kill(); }, length);
+                instance, "killed",
+                [this, instance] {
+                    mKills[instance].push_back(standins::wallSeconds());
+                    mFleet.process(instance).kill();
+                },
+                length);
             break;
         case 1:
             stopInstance(
@@ -368,6 +374,7 @@
     std::map<std::string, double> mWithdrawn;
     std::vector<std::string> mUnexpected;
     std::map<std::string, std::vector<double>> mStarts;
+    std::map<std::string, std::vector<double>> mKills;
     /// Endpoints that are to be started again.
     std::set<std::string> mDown;
     static constexpr double cNever = 1e12;
@@ -465,6 +472,7 @@
                      .refused = fleet.facts("refused"),
                      .notices = noticesOf(fleet),
                      .starts = run.starts(),
+                     .kills = run.kills(),
                      .orders = fleet.facts("order"),
                      .evacuations = run.evacuations(),
                      .domains = domainsOf(fleet),
--- a/bench/soak_calls.h
+++ b/bench/soak_calls.h
@@ -1,11 +1,13 @@
 #pragma once
 
+#include "corneltally/http/client.h"
 #include "corneltally/http/message.h"
 
 #include <array>
 #include <atomic>
 #include <cstdint>
 #include <mutex>
+#include <random>
 #include <string>
 #include <thread>
 #include <utility>
@@ -41,6 +43,9 @@
     int status = 0;
     /// Whether the answer was complete.
     bool complete = false;
+    /// Whether the instance read the request and ended the connection in an orderly way without an
+    /// answer, before its caller could know that the connection was closing.
+    bool isLost = false;
     std::string body;
 };
 
@@ -54,7 +59,7 @@
 };
 
 /// Callers that send requests of all kinds to all instances over kept connections, one thread each,
-/// until they are stopped.
+/// until they are stopped. Some go on sending on a connection until it is closed in full.
 class soak_callers
 {
 public:
@@ -75,6 +80,10 @@
 
 private:
     void run(std::uint64_t inSeed, int inNumber);
+    void runPersistent(std::uint64_t inSeed, int inNumber);
+    bool makeCall(std::mt19937_64 &ioRandom, const std::string &inId, soak_call &outCall,
+                  http::call_request &outRequest);
+    void add(soak_call inCall);
 
     mutable std::mutex mMutex;
     std::vector<soak_target> mTargets;
--- a/bench/soak_checks.cpp
+++ b/bench/soak_checks.cpp
@@ -94,10 +94,22 @@
         if (inCall.status == 200 && !inCall.complete)
             expect("cut answers are a beginning", wholeBody(inCall).starts_with(inCall.body),
                    what + ": " + inCall.body);
+        expect("requests that were read are answered",
+               !inCall.isLost || isKilled(inCall.instance, inCall.start, inCall.end),
+               what + " at " + inCall.instance + " from " + std::to_string(inCall.start) + " to "
+                   + std::to_string(inCall.end));
         if (inCall.complete && (inCall.status == 401 || inCall.status == 404))
             expect("proper requests are not denied", isWithdrawn(inCall.key, inCall.end, 0), what);
     }
 
+    bool isKilled(const std::string &inInstance, double inFrom, double inUntil) const
+    {
+        const auto found = mFacts.kills.find(inInstance);
+        return found != mFacts.kills.end() && std::ranges::any_of(found->second, [&](double inAt) {
+                   return inAt >= inFrom && inAt <= inUntil;
+               });
+    }
+
     bool isWithdrawn(const std::string &inKey, double inAt, double inLater) const
     {
         const auto found = mFacts.withdrawn.find(inKey);
--- a/bench/soak_checks.h
+++ b/bench/soak_checks.h
@@ -48,6 +48,8 @@
     std::vector<soak_notice> notices;
     /// When instances were started again, in seconds since 1970.
     std::map<std::string, std::vector<double>> starts;
+    /// When instances were killed, in seconds since 1970.
+    std::map<std::string, std::vector<double>> kills;
     std::vector<nlohmann::json> orders;
     std::vector<soak_evacuation> evacuations;
     /// Failure domains of the endpoints.
