--- a/bench/soak_bench.cpp
+++ b/bench/soak_bench.cpp
@@ -39,6 +39,7 @@
     long long engines = 4;
     long long applications = 3;
     long long callers = 10;
+    long long atOnce = 1;
     std::string binaries;
     std::string folder;
     std::string breaks;
@@ -456,7 +457,7 @@
         return 1;
     }
     soak_callers callers(static_cast<std::uint64_t>(inOptions.seed),
-                         static_cast<int>(inOptions.callers));
+                         static_cast<int>(inOptions.callers), static_cast<int>(inOptions.atOnce));
     for (const json &account : fleet.configuration().at("tenants"))
         callers.setKey(account.at("name"), account.at("api-keys").at(0));
     soak_run run(inOptions, fleet, callers);
@@ -515,6 +516,8 @@
     flags.add("engines", "engines", options.engines);
     flags.add("applications", "plain endpoints", options.applications);
     flags.add("callers", "callers, a thread each", options.callers);
+    flags.add("at-once", "calls that some callers send without waiting for answers",
+              options.atOnce);
     flags.add("binaries", "folder with the built programs", options.binaries);
     flags.add("folder", "folder of the run", options.folder);
     flags.add("break",
--- a/bench/soak_calls.h
+++ b/bench/soak_calls.h
@@ -63,7 +63,8 @@
 class soak_callers
 {
 public:
-    soak_callers(std::uint64_t inSeed, int inCallers);
+    /// Those that go on sending send so many calls at once on a connection.
+    soak_callers(std::uint64_t inSeed, int inCallers, int inAtOnce);
     ~soak_callers();
     soak_callers(const soak_callers &) = delete;
     soak_callers &operator=(const soak_callers &) = delete;
@@ -92,6 +93,7 @@
     std::array<std::atomic<int>, 4> mServed{};
     std::atomic<bool> mStopping = false;
     std::atomic<deadly_calls> mDeadlyCalls = deadly_calls::none;
+    int mAtOnce;
     std::vector<std::thread> mThreads;
 };
 
