--- a/corneltally/forwarding/drain_schedule.cpp
+++ b/corneltally/forwarding/drain_schedule.cpp
@@ -16,9 +16,12 @@
     // while several instances drain.
     step.stopListening = elapsed >= mGrace - sListenStopMargin;
     step.endRequests = !mRequestsEnded && elapsed >= mGrace - sRequestEndMargin;
-    // The answers of a step are sent after it.
-    step.exit = mRequestsEnded && elapsed >= mGrace - sExitMargin;
     mRequestsEnded = mRequestsEnded || step.endRequests;
+    // A late event loop may have read requests, and ended others, whose answers it has not sent
+    // yet.
+    const bool isLastPart = elapsed >= mGrace - sExitMargin;
+    step.exit = isLastPart && mInLastPart;
+    mInLastPart = isLastPart;
     if (step.exit || (elapsed < sBalancerRemovalTime && !mRequestsEnded))
         return step;
     step.closeIdle = !mIdleClosed;
