--- a/bench/soak_bench.cpp
+++ b/bench/soak_bench.cpp
@@ -39,6 +39,7 @@
     long long engines = 4;
     long long applications = 3;
     long long callers = 10;
+    long long atOnce = 1;
     std::string binaries;
     std::string folder;
     std::string breaks;
@@ -105,6 +106,7 @@
     }
     const std::vector<std::string> &unexpected() const { return mUnexpected; }
     const std::map<std::string, std::vector<double>> &starts() const { return mStarts; }
+    const std::map<std::string, std::vector<double>> &kills() const { return mKills; }
     /// Targets of callers: all instances at their current addresses.
     static std::vector<corneltally::bench::soak_target> sTargets(site &ioFleet)
     {
@@ -171,7 +173,12 @@
         switch (pick(16)) {
         case 0:
             stopInstance(
-                instance, "killed", [this, instance] { mFleet.process(instance).kill(); }, length);
+                instance, "killed",
+                [this, instance] {
+                    mKills[instance].push_back(standins::wallSeconds());
+                    mFleet.process(instance).kill();
+                },
+                length);
             break;
         case 1:
             stopInstance(
@@ -368,6 +375,7 @@
     std::map<std::string, double> mWithdrawn;
     std::vector<std::string> mUnexpected;
     std::map<std::string, std::vector<double>> mStarts;
+    std::map<std::string, std::vector<double>> mKills;
     /// Endpoints that are to be started again.
     std::set<std::string> mDown;
     static constexpr double cNever = 1e12;
@@ -449,7 +457,7 @@
         return 1;
     }
     soak_callers callers(static_cast<std::uint64_t>(inOptions.seed),
-                         static_cast<int>(inOptions.callers));
+                         static_cast<int>(inOptions.callers), static_cast<int>(inOptions.atOnce));
     for (const json &account : fleet.configuration().at("tenants"))
         callers.setKey(account.at("name"), account.at("api-keys").at(0));
     soak_run run(inOptions, fleet, callers);
@@ -465,6 +473,7 @@
                      .refused = fleet.facts("refused"),
                      .notices = noticesOf(fleet),
                      .starts = run.starts(),
+                     .kills = run.kills(),
                      .orders = fleet.facts("order"),
                      .evacuations = run.evacuations(),
                      .domains = domainsOf(fleet),
@@ -507,6 +516,8 @@
     flags.add("engines", "engines", options.engines);
     flags.add("applications", "plain endpoints", options.applications);
     flags.add("callers", "callers, a thread each", options.callers);
+    flags.add("at-once", "calls that some callers send without waiting for answers",
+              options.atOnce);
     flags.add("binaries", "folder with the built programs", options.binaries);
     flags.add("folder", "folder of the run", options.folder);
     flags.add("break",
--- a/bench/soak_calls.h
+++ b/bench/soak_calls.h
@@ -1,11 +1,13 @@
 #pragma once
 
+#include "corneltally/http/client.h"
 #include "corneltally/http/message.h"
 
 #include <array>
 #include <atomic>
 #include <cstdint>
 #include <mutex>
+#include <random>
 #include <string>
 #include <thread>
 #include <utility>
@@ -41,6 +43,9 @@
     int status = 0;
     /// Whether the answer was complete.
     bool complete = false;
+    /// Whether the instance read the request and ended the connection in an orderly way without an
+    /// answer, before its caller could know that the connection was closing.
+    bool isLost = false;
     std::string body;
 };
 
@@ -54,11 +59,12 @@
 };
 
 /// Callers that send requests of all kinds to all instances over kept connections, one thread each,
-/// until they are stopped.
+/// until they are stopped. Some go on sending on a connection until it is closed in full.
 class soak_callers
 {
 public:
-    soak_callers(std::uint64_t inSeed, int inCallers);
+    /// Those that go on sending send so many calls at once on a connection.
+    soak_callers(std::uint64_t inSeed, int inCallers, int inAtOnce);
     ~soak_callers();
     soak_callers(const soak_callers &) = delete;
     soak_callers &operator=(const soak_callers &) = delete;
@@ -75,6 +81,10 @@
 
 private:
     void run(std::uint64_t inSeed, int inNumber);
+    void runPersistent(std::uint64_t inSeed, int inNumber);
+    bool makeCall(std::mt19937_64 &ioRandom, const std::string &inId, soak_call &outCall,
+                  http::call_request &outRequest);
+    void add(soak_call inCall);
 
     mutable std::mutex mMutex;
     std::vector<soak_target> mTargets;
@@ -83,6 +93,7 @@
     std::array<std::atomic<int>, 4> mServed{};
     std::atomic<bool> mStopping = false;
     std::atomic<deadly_calls> mDeadlyCalls = deadly_calls::none;
+    int mAtOnce;
     std::vector<std::thread> mThreads;
 };
 
