--- a/corneltally/http1/server_connection.cpp
+++ b/corneltally/http1/server_connection.cpp
@@ -275,7 +275,8 @@
 
 void server_connection::writeHead(response_head &ioHead)
 {
-    if (mClosing)
+    // A request that follows an announced close is not answered.
+    if (mClosing && !mStream.hasInput())
         mKeepAlive = false;
     if (!mKeepAlive)
         ioHead.fields.emplace_back("Connection", "close");
