Log requests that are dropped as the process ends

A request that still ran when an instance exited left no line; "stopped" only counted it. The destructor of a request that has not ended now logs request_dropped, on whatever path it is reached. Seen in a run of forwarding_front_test, whose last stream is destroyed half-way; no check of its own.

--- a/corneltally/forwarding/forwarded_request.cpp
+++ b/corneltally/forwarding/forwarded_request.cpp
@@ -68,6 +68,15 @@
 
 forwarded_request::~forwarded_request()
 {
+    if (mState != state::done) {
+        const bool mayRun = mUpstream && mUpstream->sent() && mRunState == run_state::not_run;
+        core::logEvent(core::log_level::warning, "request_dropped",
+                       {{"request", mTerms.requestId},
+                        {"endpoint", mChoice.endpoint},
+                        {"run", toString(mayRun ? run_state::unknown : mRunState)},
+                        {"answer_started", mAnswerStarted},
+                        {"ms", inMs(core::boot_clock::now() - mRequest.arrived)}});
+    }
     forgetPermit();
     uncountWaiting();
     uncountLoad();
