Keep the header list alive while its Connection value is compared

Callers could see: nothing yet; the client of entry instances decided by freed memory whether a connection is kept.

Cause: findHeader() returns a view into the list that copyHeaders() returned as a temporary, and the view was compared after the list was destroyed.

Evidence: a trial with address sanitizer over client.cpp and this test reported a heap-use-after-free in the comparison for a response with "Connection: close"; with the list kept, the test passed without a report.

--- a/corneltally/http/client.cpp
+++ b/corneltally/http/client.cpp
@@ -272,8 +272,9 @@
                 call, call.headSeen ? call_outcome::interrupted : call_outcome::not_sent, false);
             return;
         }
-        const std::string_view connectionHeader = findHeader(copyHeaders(inRequest), "Connection");
-        const bool reusable = !call.request.freshConnection && connectionHeader != "close";
+        const header_list headers = copyHeaders(inRequest);
+        const bool reusable
+            = !call.request.freshConnection && findHeader(headers, "Connection") != "close";
         call.owner->finish(call, call_outcome::completed, reusable);
     }
 };
--- a/tests/unit/http_broken_response_test.cpp
+++ b/tests/unit/http_broken_response_test.cpp
@@ -142,3 +142,14 @@
     CHECK(call(endpoint, std::string(cUploadBytes, 'x')).outcome
           == http::call_outcome::interrupted);
 }
+
+// Failure: a response that ends with its connection is thrown away though the request was received.
+TEST_CASE("a response that ends with its connection is complete if the request is received")
+{
+    for (const std::string fields : {"", "Connection: close\r\n"}) {
+        INFO(fields);
+        const call_result result = answeredWith("HTTP/1.1 200 OK\r\n" + fields + "\r\nwhole");
+        CHECK(result.outcome == http::call_outcome::completed);
+        CHECK(result.body == "whole");
+    }
+}
