Interrupt calls whose response ends before the request is received

Callers would see: a part of an engine's or a service's answer as a complete one, at entry instances. The server answers an upload with a 200 without a length, its connection is closed in the middle of the body, and reset once more of the request arrives.

Cause: once libevent has passed the request to the socket, it takes every end of the connection for the end of a body without a length. An upload that fits into the socket buffers is passed at once, long before it is received. The tests had an upload of 32 MB only, which is still being written when the end arrives.

Change: a response that ends with its connection completes its call only if the server has acknowledged the whole request and the socket has no error at that time, the conditions of http1::client_connection; the two questions to the socket are functions of their own now. The client asks before libevent closes the socket, and does not wait for an acknowledgement: libevent fails an end that arrives during the write in the same way.

--- a/corneltally/http/client.cpp
+++ b/corneltally/http/client.cpp
@@ -2,6 +2,7 @@
 
 #include "corneltally/http1/body_framing.h"
 #include "corneltally/http1/message_head.h"
+#include "corneltally/http1/socket_condition.h"
 #include "corneltally/kernel/event_loop.h"
 #include "corneltally/kernel/timer.h"
 
@@ -26,6 +27,9 @@
 constexpr std::size_t cMaxIdlePerTarget = 64;
 /// Status of a response after which the final one follows.
 constexpr int cContinue = 100;
+/// Statuses of responses without a body.
+constexpr int cNoContent = 204;
+constexpr int cNotModified = 304;
 /// Limit on the size of a response head or of its trailer.
 constexpr std::size_t cMaxHeadBytes = 64 * 1024;
 /// Limit on the bytes of a response that the library holds until they form a unit that it can
@@ -66,6 +70,14 @@
            });
 }
 
+/// Whether only the end of the connection ends the body of a response.
+bool endsWithConnection(int inStatus, const header_list &inHeaders)
+{
+    return inStatus != cNoContent && inStatus != cNotModified
+        && findHeader(inHeaders, "Content-Length").empty()
+        && findHeader(inHeaders, "Transfer-Encoding").empty();
+}
+
 } // namespace
 
 struct client::implementation
@@ -85,6 +97,8 @@
         bool headSeen = false;
         bool transportError = false;
         bool tooLong = false;
+        /// Whether the server had received the request when the connection ended.
+        bool received = false;
     };
 
     kernel::event_loop &loop;
@@ -119,8 +133,9 @@
         return bufferevent_get_input(evhttp_connection_get_bufferevent(inConnection));
     }
 
-    static void unwatchInput(running_call &ioCall)
+    static void unwatch(running_call &ioCall)
     {
+        evhttp_connection_set_closecb(ioCall.connection, nullptr, nullptr);
         if (ioCall.inputWatch != nullptr)
             evbuffer_remove_cb_entry(inputOf(ioCall.connection),
                                      std::exchange(ioCall.inputWatch, nullptr));
@@ -139,6 +154,15 @@
         call.deadline->startOnce(core::duration::zero());
     }
 
+    /// Called before the library closes a connection, which it may do before it reports the
+    /// response.
+    static void sClosing(evhttp_connection *inConnection, void *inCall)
+    {
+        const int socket = bufferevent_getfd(evhttp_connection_get_bufferevent(inConnection));
+        static_cast<running_call *>(inCall)->received
+            = !http1::hasFailed(socket) && http1::isAcknowledged(socket);
+    }
+
     /// Frees a connection after the current callback, because the library may still use it.
     void freeLater(evhttp_connection *inConnection)
     {
@@ -149,6 +173,7 @@
     {
         ioCall.connection = takeConnection(ioCall.request);
         ioCall.inputWatch = evbuffer_add_cb(inputOf(ioCall.connection), &sInputChanged, &ioCall);
+        evhttp_connection_set_closecb(ioCall.connection, &sClosing, &ioCall);
         ioCall.wireRequest = evhttp_request_new(&sDone, &ioCall);
         evhttp_request_set_header_cb(ioCall.wireRequest, &sHead);
         evhttp_request_set_chunked_cb(ioCall.wireRequest, &sData);
@@ -189,7 +214,7 @@
             call->wireRequest = nullptr;
         }
         if (call->connection != nullptr) {
-            unwatchInput(*call);
+            unwatch(*call);
             freeLater(call->connection);
         }
         return call;
@@ -207,7 +232,7 @@
         const auto found = calls.find(ioCall.id);
         const std::unique_ptr<running_call> call = std::move(found->second);
         calls.erase(found);
-        unwatchInput(*call);
+        unwatch(*call);
         std::vector<evhttp_connection *> &pool = idle[call->request.target];
         if (inReusable && pool.size() < cMaxIdlePerTarget)
             // The library uses the connection until this callback returns.
@@ -267,12 +292,22 @@
             return;
         }
         // After a failed connect, the library reports a request with status 0 and no error.
-        if (evhttp_request_get_response_code(inRequest) == 0) {
+        const int status = evhttp_request_get_response_code(inRequest);
+        if (status == 0) {
             call.owner->finish(
                 call, call.headSeen ? call_outcome::interrupted : call_outcome::not_sent, false);
             return;
         }
         const header_list headers = copyHeaders(inRequest);
+        if (endsWithConnection(status, headers)) {
+            if (bufferevent_getfd(evhttp_connection_get_bufferevent(call.connection)) >= 0)
+                sClosing(call.connection, &call);
+            // A server whose process ends in the middle of its response closes its connections too,
+            // but resets them when more of the request arrives.
+            call.owner->finish(
+                call, call.received ? call_outcome::completed : call_outcome::interrupted, false);
+            return;
+        }
         const bool reusable
             = !call.request.freshConnection && findHeader(headers, "Connection") != "close";
         call.owner->finish(call, call_outcome::completed, reusable);
--- a/corneltally/http1/socket_stream.cpp
+++ b/corneltally/http1/socket_stream.cpp
@@ -1,5 +1,6 @@
 #include "corneltally/http1/socket_stream.h"
 
+#include "corneltally/http1/socket_condition.h"
 #include "corneltally/kernel/event_loop.h"
 
 #include <cerrno>
@@ -9,10 +10,8 @@
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
-#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
-#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 namespace corneltally::http1 {
@@ -187,19 +186,13 @@
 
 bool socket_stream::isAcknowledged() const
 {
-    int unacknowledged = 0;
-    if (mState->stream != nullptr)
-        ::ioctl(bufferevent_getfd(mState->stream), SIOCOUTQ, &unacknowledged);
-    return unsentBytes() == 0 && unacknowledged == 0;
+    return unsentBytes() == 0
+        && (mState->stream == nullptr || http1::isAcknowledged(bufferevent_getfd(mState->stream)));
 }
 
 bool socket_stream::hasFailed() const
 {
-    int error = 0;
-    socklen_t size = sizeof(error);
-    if (mState->stream != nullptr)
-        getsockopt(bufferevent_getfd(mState->stream), SOL_SOCKET, SO_ERROR, &error, &size);
-    return error != 0;
+    return mState->stream != nullptr && http1::hasFailed(bufferevent_getfd(mState->stream));
 }
 
 void socket_stream::setReading(bool inReading)
--- a/tests/unit/http_broken_response_test.cpp
+++ b/tests/unit/http_broken_response_test.cpp
@@ -143,6 +143,29 @@
           == http::call_outcome::interrupted);
 }
 
+// Failure: a part of a response counts as complete since its connection was closed, and reset once
+// more of the request arrived. The request fits into the socket buffers.
+TEST_CASE("a response whose connection is closed and then reset interrupts its call")
+{
+    const std::size_t bytes = GENERATE(as<std::size_t>{}, 200'000, 1'000'000);
+    const std::string fields = GENERATE("", "Connection: close\r\n");
+    const auto pause = GENERATE(0ms, 1ms, 50ms);
+    CAPTURE(bytes, fields, pause.count());
+    // More than the client reads before it has passed its request to the socket.
+    const std::string part(400'000, 'y');
+    raw_endpoint endpoint([&](int inSocket) {
+        // Acknowledges only a part of the request.
+        const int buffer = 64 * 1024;
+        setsockopt(inSocket, SOL_SOCKET, SO_RCVBUF, &buffer, sizeof buffer);
+        raw_endpoint::sReadSome(inSocket);
+        raw_endpoint::sSend(inSocket, "HTTP/1.1 200 OK\r\n" + fields + "\r\n" + part);
+        shutdown(inSocket, SHUT_WR);
+        std::this_thread::sleep_for(pause);
+        raw_endpoint::sReset(inSocket);
+    });
+    CHECK(call(endpoint, std::string(bytes, 'x')).outcome == http::call_outcome::interrupted);
+}
+
 // Failure: a response that ends with its connection is thrown away though the request was received.
 TEST_CASE("a response that ends with its connection is complete if the request is received")
 {
