Test an answer whose connection is closed and reset before it is read

Callers would see: a part of an answer as a complete one, when an instance is late and the end and the reset of the connection have both arrived.

No fault was found: client_connection asks the socket for its error.

--- a/tests/unit/http1_upload_reset_test.cpp
+++ b/tests/unit/http1_upload_reset_test.cpp
@@ -6,6 +6,9 @@
 #include "corneltally/kernel/timer.h"
 #include "tests/raw_endpoint.h"
 
+#include <atomic>
+#include <functional>
+#include <future>
 #include <optional>
 #include <string>
 #include <thread>
@@ -27,7 +30,9 @@
     std::optional<http1::exchange_end> end;
 };
 
-upload_result upload(const raw_endpoint &inEndpoint, std::size_t inBytes)
+/// A task runs in the loop every millisecond.
+upload_result upload(const raw_endpoint &inEndpoint, std::size_t inBytes,
+                     const std::function<void()> &inTask = {})
 {
     kernel::event_loop loop;
     upload_result result;
@@ -49,6 +54,9 @@
              }});
     kernel::timer limit(loop, [&] { loop.stop(); });
     limit.startOnce(10s);
+    kernel::timer task(loop, inTask);
+    if (inTask)
+        task.startRepeating(1ms);
     loop.run();
     REQUIRE(result.end.has_value());
     CHECK_FALSE(connection.reusable());
@@ -102,6 +110,31 @@
     CHECK(upload(endpoint, bytes).end->outcome == kind::broken);
 }
 
+// Failure: an instance that is late finds the end of the connection first and takes it for the end
+// of the body, though the connection was reset after it.
+TEST_CASE("an answer whose connection is closed and reset before it is read is broken")
+{
+    std::atomic<bool> received = false;
+    std::promise<void> busy;
+    std::promise<void> reset;
+    raw_endpoint endpoint([&](int inSocket) {
+        raw_endpoint::sReadSome(inSocket);
+        received = true;
+        busy.get_future().wait();
+        raw_endpoint::sSend(inSocket, "HTTP/1.1 200 OK\r\n\r\npart");
+        shutdown(inSocket, SHUT_WR);
+        raw_endpoint::sReset(inSocket);
+        reset.set_value();
+    });
+    const upload_result result = upload(endpoint, 1, [&] {
+        if (!received.exchange(false))
+            return;
+        busy.set_value();
+        reset.get_future().wait();
+    });
+    CHECK(result.end->outcome == kind::broken);
+}
+
 // Failure: an early answer is thrown away though its endpoint reads the rest of the request.
 TEST_CASE("an early answer that ends with its connection is complete if the upload is received")
 {
