--- a/tests/integration/site_fixture.h
+++ b/tests/integration/site_fixture.h
@@ -97,3 +97,19 @@
             REQUIRE(fleet.setFaults(name, inFaults));
     }
 };
+
+/// The events that an engine writes for a request.
+inline std::string wholeStream(const std::string &inId, int inEvents = 6)
+{
+    std::string text;
+    for (int event = 1; event <= inEvents; ++event)
+        text += "id: " + std::to_string(event) + "\ndata: " + inId + " " + std::to_string(event)
+            + "/" + std::to_string(inEvents) + "\n\n";
+    return text;
+}
+
+/// Whether a status tells callers that the request has not run.
+inline bool promisesNotRun(int inStatus)
+{
+    return inStatus == 429 || inStatus == 503;
+}
