--- a/corneltally/forwarding/front_service.h
+++ b/corneltally/forwarding/front_service.h
@@ -75,7 +75,7 @@
     std::size_t running() const;
     /// Number of requests that have begun to arrive and are not yet answered in full.
     std::size_t unfinished() const;
-    /// Number of connections on which bytes arrived that were not read.
+    /// Number of connections on which bytes arrived that were not parsed.
     std::size_t withInput() const;
 
     void setRetryLimits(const limits::fleet_retry_budget::limits &inLimits)
--- a/corneltally/http1/server_connection.cpp
+++ b/corneltally/http1/server_connection.cpp
@@ -17,7 +17,7 @@
 /// Idle time after which a connection that is to be closed is closed: a caller that has just read
 /// an answer may be sending its next request.
 constexpr core::duration cQuietTime = std::chrono::milliseconds(200);
-/// Time that the first request on a new connection may take to arrive.
+/// The same for a new connection, whose first request may still be on its way.
 constexpr core::duration cFirstRequestTime = std::chrono::seconds(1);
 /// A body is held for repeats, and again in the output of the connection to the endpoint.
 constexpr std::uint64_t cBodyCopies = 2;
@@ -275,7 +275,7 @@
 
 void server_connection::writeHead(response_head &ioHead)
 {
-    // A request that follows an announced close is not answered.
+    // Nothing that follows an announced close is answered.
     if (mClosing && !mStream.hasInput())
         mKeepAlive = false;
     if (!mKeepAlive)
--- a/corneltally/http1/server_connection.h
+++ b/corneltally/http1/server_connection.h
@@ -95,15 +95,16 @@
     /// was written before is sent.
     void abort();
 
-    /// Closes the connection: if it is idle and no request has arrived, soon, else after the
-    /// response that announces it. Calls no handler before it returns.
+    /// Ends the use of the connection. Requests that have arrived are answered, and the last answer
+    /// announces the close. An idle connection is closed after a short time without a request.
+    /// Calls no handler before it returns.
     void closeWhenIdle();
 
     bool busy() const { return mBusy; }
-    /// Whether a request has begun to arrive, or may be expected on a new connection, that is not
-    /// yet answered in full.
+    /// Whether a request has begun to arrive that is not yet answered in full, or the first one on
+    /// a new connection is expected.
     bool unfinished() const;
-    /// Whether bytes of a request arrived that were not read.
+    /// Whether bytes arrived that were not parsed, including those that wait in the socket.
     bool hasInput() const { return mStream.hasInput(); }
     /// Bytes that arrived after the instance had closed its side, and were not answered.
     std::size_t discardedBytes() const { return mDiscardedBytes; }
