--- a/corneltally/forwarding/forwarded_request.cpp
+++ b/corneltally/forwarding/forwarded_request.cpp
@@ -68,22 +68,45 @@
 
 forwarded_request::~forwarded_request()
 {
+    if (mState != state::done) {
+        const bool mayRun = mUpstream && mUpstream->sent() && mRunState == run_state::not_run;
+        core::logEvent(core::log_level::warning, "request_dropped",
+                       {{"request", mTerms.requestId},
+                        {"endpoint", mChoice.endpoint},
+                        {"run", toString(mayRun ? run_state::unknown : mRunState)},
+                        {"answer_started", mAnswerStarted},
+                        {"ms", inMs(core::boot_clock::now() - mRequest.arrived)}});
+    }
     forgetPermit();
     uncountWaiting();
     uncountLoad();
 }
 
-void forwarded_request::start()
+void forwarded_request::start(bool inHoldsAdmission)
 {
     mTerms = platform::decodeRequest(mRequest.head);
     if (!mTable) {
         refuse(503, "no configuration is known yet", retryAfter());
         return;
     }
-    if (!resolveRoute() || !admit())
+    if (!resolveRoute())
         return;
     mDeadline.startOnce(std::max(core::duration::zero(), timeLeft()));
-    chooseAndSend();
+    mAdmissionHeld = inHoldsAdmission;
+    if (!mAdmissionHeld)
+        admitAndSend();
+}
+
+void forwarded_request::admitHeld()
+{
+    if (mState != state::done && std::exchange(mAdmissionHeld, false))
+        admitAndSend();
+}
+
+void forwarded_request::admitAndSend()
+{
+    if (admit())
+        chooseAndSend();
 }
 
 bool forwarded_request::resolveRoute()
@@ -310,6 +333,7 @@
     mHeadReceived = false;
     mAnswerAsksPause = false;
     mBuffersAnswer = false;
+    mUpstreamReadPaused = false;
     // Its body is cleared as well.
     mFailureAnswerStored = false;
     mBody.clear();
--- a/corneltally/http1/client_connection.h
+++ b/corneltally/http1/client_connection.h
@@ -75,6 +75,7 @@
     /// Whether any byte of the current request may have reached the server.
     bool sent() const { return mStream.sentBytes() > mSentBefore; }
 
+    /// Stops or resumes reading until the end of the exchange.
     void setReading(bool inReading) { mStream.setReading(inReading); }
 
 private:
@@ -101,6 +102,7 @@
     std::optional<core::time_point> mSendBefore;
     bool mRunning = false;
     bool mConnected = false;
+    bool mConnectTimeOver = false;
     bool mReusable = true;
     bool mHeadDelivered = false;
     bool mDropping = false;
--- a/corneltally/http1/server_connection.cpp
+++ b/corneltally/http1/server_connection.cpp
@@ -141,7 +141,8 @@
         armIdleTimer();
         return;
     }
-    if (mStream.hasInput()) {
+    // The reset of a later request would discard what the caller has not received yet.
+    if (mStream.hasInput() || !mStream.isAcknowledged()) {
         armTimer(cQuietTime);
         return;
     }
@@ -274,7 +275,8 @@
 
 void server_connection::writeHead(response_head &ioHead)
 {
-    if (mClosing)
+    // A request that follows an announced close is not answered.
+    if (mClosing && !mStream.hasInput())
         mKeepAlive = false;
     if (!mKeepAlive)
         ioHead.fields.emplace_back("Connection", "close");
@@ -387,9 +389,14 @@
 void server_connection::abort()
 {
     mBusy = false;
-    if (mEndsWithConnection)
+    if (mEndsWithConnection) {
         mStream.reset();
-    closed(connection_end::aborted);
+        closed(connection_end::aborted);
+        return;
+    }
+    // The missing end shows that the response is not whole. Responses before it are.
+    mKeepAlive = false;
+    linger();
 }
 
 void server_connection::closeWhenIdle()
