--- a/bench/soak_calls.cpp
+++ b/bench/soak_calls.cpp
@@ -24,7 +24,7 @@
 constexpr int cAdapters = 12;
 /// Callers wait less than this for an answer; some leave earlier.
 constexpr int cDeadlineMs = 2500;
-constexpr std::chrono::milliseconds cPatience{2700};
+constexpr std::chrono::milliseconds cAnswerTimeout{2700};
 /// One of so many calls with an adapter ends its engine.
 constexpr std::size_t cCallsPerDeadly = 12;
 /// One of so many callers goes on sending on closing connections, at this interval.
@@ -47,7 +47,7 @@
         const auto now = std::chrono::steady_clock::now();
         if (ioConnection.end() != connection_end::orderly)
             return ioConnection.requests().back().answered
-                || ioConnection.end() == connection_end::reset || now > start + cPatience;
+                || ioConnection.end() == connection_end::reset || now > start + cAnswerTimeout;
         const auto lost = ioConnection.lost();
         return lost.empty() || lost.front().status != 0
             || now > ioConnection.endSeen() + cFullClose;
@@ -127,7 +127,7 @@
     outRequest.method = "POST";
     outRequest.path = path + std::to_string(pick(10));
     outCall.sentBody = "body of " + outCall.id;
-    outRequest.timeout = pick(12) == 0 ? std::chrono::milliseconds(20 + pick(120)) : cPatience;
+    outRequest.timeout = pick(12) == 0 ? std::chrono::milliseconds(20 + pick(120)) : cAnswerTimeout;
     outRequest.headers = {{"Host", standins::site::cHost},
                           {std::string(platform::cRequestIdField), outCall.id},
                           {std::string(platform::cAuthorizationField),
