Log the era of the store, the ends of topics and the records that are ignored

On-call could not tell whether a configuration was late, or was read and ignored: the logs had neither the copy of the store that answers came from nor the end of a topic before and after an outage. store_era, topic_read_anew and operator_record_ignored are new; store_read_failed has the era, and operator_records_requested both ends. No decision changes.

--- a/corneltally/catalog/catalog_service.h
+++ b/corneltally/catalog/catalog_service.h
@@ -260,7 +260,11 @@
         // relay of the range with this record shows.
         const std::uint64_t from = mEvacuations.records().firstInForce(mCatchUp.end());
         core::logEvent(core::log_level::info, "operator_records_requested",
-                       {{"peer", *peer}, {"from", from}, {"store_failing", mOperator.isFailing()}});
+                       {{"peer", *peer},
+                        {"from", from},
+                        {"end", mCatchUp.end()},
+                        {"reported_end", mCatchUp.reported()},
+                        {"store_failing", mOperator.isFailing()}});
         mMetrics.count("operator_records_requested_total");
         mRegistry.broadcast(operator_records_request{*peer, from});
     }
@@ -290,6 +294,12 @@
         if (known != mOperatorRecords.end() && known->second.offset >= inRecord.offset) {
             mMetrics.count("operator_records_repeated_total{source=\"" + std::string(inSource)
                            + "\"}");
+            if (known->second.value != inRecord.value)
+                core::logEvent(core::log_level::info, "operator_record_ignored",
+                               {{"key", inRecord.key},
+                                {"offset", inRecord.offset},
+                                {"known_offset", known->second.offset},
+                                {"source", inSource}});
             return;
         }
         if (inRecord.key == platform::cConfigurationKey) {
--- a/corneltally/store/record.h
+++ b/corneltally/store/record.h
@@ -35,6 +35,9 @@
     std::uint64_t end = 0;
     /// Whether there are more keys after the last one; used only for reads of newest records.
     bool hasMore = false;
+    /// Number of the copy of the store that answered; it rises each time the store comes back from
+    /// an older copy. Zero if the store does not tell.
+    std::uint64_t era = 0;
 
     friend auto operator<=>(const read_result &, const read_result &) = default;
 };
--- a/corneltally/store/topic_follower.h
+++ b/corneltally/store/topic_follower.h
@@ -192,8 +192,9 @@
 
     void readFailed()
     {
-        core::logEvent(core::log_level::warning, "store_read_failed",
-                       {{"topic", mTopic}, {"offset", mOffset}, {"loaded", mLoaded}});
+        core::logEvent(
+            core::log_level::warning, "store_read_failed",
+            {{"topic", mTopic}, {"era", mEra}, {"offset", mOffset}, {"loaded", mLoaded}});
         mFailed = true;
         schedule(mRetryPause);
         mRetryPause = std::min(mRetryPause * 2, mOptions.maxRetryPause);
@@ -201,6 +202,7 @@
 
     void newestReceived(const read_result &inResult)
     {
+        noteEra(inResult);
         if (inResult.outcome != read_result::status::done) {
             readFailed();
             return;
@@ -208,6 +210,12 @@
         // The pages are not an atomic snapshot. Records appended meanwhile are read afterwards,
         // starting from the end of the topic at the first page.
         if (mAfterKey.empty()) {
+            if (mHasRead)
+                core::logEvent(core::log_level::info, "topic_read_anew",
+                               {{"topic", mTopic},
+                                {"era", mEra},
+                                {"end_before", mOffset},
+                                {"end", inResult.end}});
             mOffset = inResult.end;
             mSnapshotStartedAt = mStartedAt;
         }
@@ -227,6 +235,7 @@
 
     void recordsReceived(const read_result &inResult)
     {
+        noteEra(inResult);
         if (inResult.outcome == read_result::status::expired) {
             mLoaded = false;
             readNext();
@@ -247,6 +256,20 @@
         schedule(mOptions.pause);
     }
 
+    /// Logs the first answer from another copy of the store.
+    void noteEra(const read_result &inResult)
+    {
+        if (inResult.era == 0 || inResult.era == mEra)
+            return;
+        core::logEvent(core::log_level::info, "store_era",
+                       {{"topic", mTopic},
+                        {"era", inResult.era},
+                        {"era_before", mEra},
+                        {"offset", mOffset},
+                        {"end", inResult.end}});
+        mEra = inResult.era;
+    }
+
     void deliver(std::vector<record> inRecords, bool inComplete, core::time_point inStartedAt,
                  std::uint64_t inFrom)
     {
@@ -276,6 +299,8 @@
     /// Number of the last started read; answers to earlier reads are ignored.
     std::uint64_t mReadNumber = 0;
     std::uint64_t mOffset = 0;
+    /// Era of the last answer that told it.
+    std::uint64_t mEra = 0;
     std::string mAfterKey;
     std::vector<record> mPages;
     core::time_point mStartedAt;
