Let the stand-in of the store come back from an older copy

POST /control/restore takes all topics back, raises Store-Era and, after a time, lets the operator write again what it had written. A read from an offset that the store does not have gets 410, as the users say.

--- a/standins/site.cpp
+++ b/standins/site.cpp
@@ -270,6 +270,15 @@
     return mProbe.post(process("store").port("http"), "/control/put", body.dump()).status == 200;
 }
 
+bool site::restoreStore(std::chrono::milliseconds inAge, std::chrono::milliseconds inAway,
+                        std::chrono::milliseconds inRewrite)
+{
+    const json body{
+        {"age_ms", inAge.count()}, {"away_ms", inAway.count()}, {"rewrite_ms", inRewrite.count()}};
+    return mProbe.post(process("store").port("http"), "/control/restore", body.dump()).status
+        == 200;
+}
+
 bool site::setFaults(const std::string &inName, const json &inFaults)
 {
     return mProbe.post(process(inName).port("http"), "/control/faults", inFaults.dump()).status
--- a/standins/site.h
+++ b/standins/site.h
@@ -70,6 +70,11 @@
     /// acknowledged it.
     bool evacuate(const std::string &inFailureDomain, bool inEvacuated = true);
 
+    /// Brings the store back from a copy that is so old, after it was out of reach for a time. The
+    /// operator writes again what is lost after another time.
+    bool restoreStore(std::chrono::milliseconds inAge, std::chrono::milliseconds inAway,
+                      std::chrono::milliseconds inRewrite);
+
     bool setFaults(const std::string &inName, const nlohmann::json &inFaults);
     /// A fault of links of the proxy; without names, of all.
     bool linkFault(const std::vector<std::string> &inLinks, const std::string &inFault,
--- a/standins/site_store.cpp
+++ b/standins/site_store.cpp
@@ -111,10 +111,10 @@
         control(inExchange);
         return;
     }
-    if (mMode == "reset") {
+    if (mMode == "reset" || isAway()) {
         inExchange->abort();
     } else if (mMode == "busy") {
-        inExchange->replyJson(503, "{}");
+        replyJson(inExchange, 503, "{}");
     } else if (mMode == "silent") {
         // The connection returns nothing further, as after a lost answer.
         mWaiting.push_back({inExchange, "", 0, core::boot_clock::now() + std::chrono::hours(1)});
@@ -125,10 +125,25 @@
     } else if (inExchange->path() == platform::cNewestPath) {
         newest(inExchange);
     } else {
-        inExchange->replyJson(404, "{}");
+        replyJson(inExchange, 404, "{}");
     }
 }
 
+void site_store::reply(const exchange_pointer &inExchange, int inStatus, const std::string &inType,
+                       const std::string &inBody) const
+{
+    inExchange->reply(
+        inStatus,
+        {{"Content-Type", inType}, {std::string(platform::cStoreEraField), std::to_string(mEra)}},
+        inBody);
+}
+
+void site_store::replyJson(const exchange_pointer &inExchange, int inStatus,
+                           const std::string &inBody) const
+{
+    reply(inExchange, inStatus, "application/json", inBody);
+}
+
 int site_store::appendBody(topic &ioTopic, const std::string &inBody,
                            const std::string &inCondition)
 {
@@ -147,7 +162,7 @@
     const std::string name(inExchange->query("topic"));
     const std::string condition(inExchange->query("at"));
     if (name == platform::cOperatorTopic || name == platform::cEndpointTopic) {
-        inExchange->replyJson(403, "{}");
+        replyJson(inExchange, 403, "{}");
         return;
     }
     if (mLateAppends > 0) {
@@ -164,32 +179,51 @@
         --mLoseAppends;
         inExchange->abort();
     } else {
-        inExchange->replyJson(status, json{{"offset", offset}, {"end", target.end()}}.dump());
+        replyJson(inExchange, status, json{{"offset", offset}, {"end", target.end()}}.dump());
     }
     answerWaiting();
 }
 
-void site_store::put(topic &ioTopic, store::record inRecord)
+void site_store::topic::put(store::record inRecord)
 {
-    inRecord.offset = ioTopic.end();
+    inRecord.offset = end();
     if (inRecord.value)
-        ioTopic.newest.insert_or_assign(inRecord.key, inRecord);
+        newest.insert_or_assign(inRecord.key, inRecord);
     else
-        ioTopic.newest.erase(inRecord.key);
-    ioTopic.records.push_back(std::move(inRecord));
-    if (std::ssize(ioTopic.records) > mOptions.retainRecords) {
-        ioTopic.records.erase(ioTopic.records.begin());
-        ++ioTopic.first;
+        newest.erase(inRecord.key);
+    records.push_back(std::move(inRecord));
+    times.push_back(core::boot_clock::now());
+}
+
+void site_store::topic::truncate(std::uint64_t inEnd)
+{
+    records.resize(inEnd);
+    times.resize(inEnd);
+    first = std::min(first, inEnd);
+    newest.clear();
+    for (const store::record &record : records) {
+        if (record.value)
+            newest.insert_or_assign(record.key, record);
+        else
+            newest.erase(record.key);
     }
 }
 
+void site_store::put(topic &ioTopic, store::record inRecord)
+{
+    ioTopic.put(std::move(inRecord));
+    if (const auto retained = static_cast<std::uint64_t>(mOptions.retainRecords);
+        ioTopic.end() > retained)
+        ioTopic.first = std::max(ioTopic.first, ioTopic.end() - retained);
+}
+
 void site_store::read(const exchange_pointer &inExchange)
 {
     const std::string name(inExchange->query("topic"));
     const std::uint64_t from = numberOf(inExchange->query("from"));
     const topic &source = mTopics[name];
     const auto wait = std::chrono::milliseconds(numberOf(inExchange->query("wait-ms")));
-    if (from >= source.end() && wait.count() > 0) {
+    if (from == source.end() && wait.count() > 0) {
         mWaiting.push_back({inExchange, name, from, core::boot_clock::now() + wait});
         return;
     }
@@ -199,14 +233,14 @@
 void site_store::answerRead(const exchange_pointer &inExchange, const topic &inTopic,
                             std::uint64_t inFrom) const
 {
-    if (inFrom < inTopic.first) {
-        inExchange->replyJson(410, json{{"first", inTopic.first}}.dump());
+    if (inFrom < inTopic.first || inFrom > inTopic.end()) {
+        replyJson(inExchange, 410, json{{"first", inTopic.first}}.dump());
         return;
     }
     std::string body = bigEndian(inTopic.end(), 8) + bigEndian(inTopic.first, 8);
     for (std::uint64_t offset = inFrom; offset < inTopic.end(); ++offset)
-        body.append(encodeRecord(inTopic.records[offset - inTopic.first]));
-    inExchange->reply(200, {{"Content-Type", "application/octet-stream"}}, body);
+        body.append(encodeRecord(inTopic.records[offset]));
+    reply(inExchange, 200, "application/octet-stream", body);
 }
 
 void site_store::newest(const exchange_pointer &inExchange)
@@ -219,8 +253,8 @@
         items.push_back({{"key", next->first},
                          {"value", encodeBase64(*next->second.value)},
                          {"offset", next->second.offset}});
-    inExchange->replyJson(
-        200,
+    replyJson(
+        inExchange, 200,
         json{{"items", items}, {"has-more", next != source.newest.end()}, {"end", source.end()}}
             .dump());
 }
@@ -239,7 +273,7 @@
         put(mTopics[body.value("topic", "")], std::move(record));
         answerWaiting();
     } else if (inExchange->path() == "/control/heartbeat") {
-        if (mMode != "none") {
+        if (mMode != "none" || isAway()) {
             inExchange->replyJson(503, "{}");
             return;
         }
@@ -255,31 +289,86 @@
             put(endpoints, {.key = key, .value = entry});
         }
         answerWaiting();
+    } else if (inExchange->path() == "/control/restore") {
+        restoreTopics(body);
     } else {
-        mMode = body.value("mode", mMode);
-        mLoseAppends = body.value("lose", mLoseAppends);
-        mLateAppends = body.value("late", mLateAppends);
-        mLateBy = std::chrono::milliseconds(body.value("late_ms", 1500));
-        if (body.value("forget", false)) {
-            for (auto &[name, target] : mTopics) {
-                target.first = target.end();
-                target.records.clear();
-            }
-        }
-        mHost.facts().write("store_fault", {{"mode", mMode}});
-        // Calls that wait are answered by nothing while the store is away.
-        if (mMode == "reset") {
-            for (const waiting_read &waiting : mWaiting)
-                waiting.exchange->abort();
-            mWaiting.clear();
-        }
+        setFaults(body);
     }
     inExchange->replyJson(200, "{}");
 }
 
+void site_store::setFaults(const json &inFaults)
+{
+    mMode = inFaults.value("mode", mMode);
+    mLoseAppends = inFaults.value("lose", mLoseAppends);
+    mLateAppends = inFaults.value("late", mLateAppends);
+    mLateBy = std::chrono::milliseconds(inFaults.value("late_ms", 1500));
+    if (inFaults.value("forget", false)) {
+        for (auto &[name, target] : mTopics)
+            target.first = target.end();
+    }
+    mHost.facts().write("store_fault", {{"mode", mMode}});
+    // Calls that wait are answered by nothing while the store is away.
+    if (mMode == "reset")
+        abortWaiting();
+}
+
+void site_store::abortWaiting()
+{
+    for (const waiting_read &waiting : mWaiting)
+        waiting.exchange->abort();
+    mWaiting.clear();
+}
+
+void site_store::restoreTopics(const json &inRestore)
+{
+    const core::time_point now = core::boot_clock::now();
+    const core::time_point copiedAt = now - std::chrono::milliseconds(inRestore.value("age_ms", 0));
+    mRestore.begunAt = now;
+    mRestore.returnsAt = now + std::chrono::milliseconds(inRestore.value("away_ms", 0));
+    mRestore.rewritesAt = inRestore.contains("rewrite_ms")
+        ? mRestore.returnsAt + std::chrono::milliseconds(inRestore.value("rewrite_ms", 0))
+        : core::time_point::max();
+    for (auto &[name, target] : mTopics) {
+        const auto end = static_cast<std::uint64_t>(std::ranges::upper_bound(target.times, copiedAt)
+                                                    - target.times.begin());
+        mHost.facts().write(
+            "restore",
+            {{"topic", name}, {"era", mEra + 1}, {"end_before", target.end()}, {"end", end}});
+        for (std::uint64_t offset = end; name == platform::cOperatorTopic && offset < target.end();
+             ++offset)
+            mRestore.lost.insert_or_assign(target.records[offset].key, target.records[offset]);
+        target.truncate(end);
+    }
+    ++mEra;
+    // Appends that are held up end with the process that held them.
+    mLate.clear();
+    abortWaiting();
+}
+
+/// Writes the operator's lost records again, except those that were replaced since.
+void site_store::rewriteLost()
+{
+    topic &target = mTopics[platform::cOperatorTopic];
+    for (auto &[key, lost] : std::exchange(mRestore.lost, {})) {
+        const bool isReplaced
+            = std::ranges::any_of(target.records, [&](const store::record &inRecord) {
+                  return inRecord.key == key && target.times[inRecord.offset] >= mRestore.begunAt;
+              });
+        if (!isReplaced)
+            put(target, std::move(lost));
+    }
+    answerWaiting();
+}
+
+bool site_store::isAway() const
+{
+    return core::boot_clock::now() < mRestore.returnsAt;
+}
+
 void site_store::answerWaiting()
 {
-    if (mMode != "none")
+    if (mMode != "none" || isAway())
         return;
     const core::time_point now = core::boot_clock::now();
     std::vector<waiting_read> kept;
@@ -287,8 +376,8 @@
         if (waiting.exchange->isClosed())
             continue;
         const topic &source = mTopics[waiting.topicName];
-        if (!waiting.topicName.empty() && (waiting.from < source.end() || waiting.until <= now))
-            answerRead(waiting.exchange, source, std::min(waiting.from, source.end()));
+        if (!waiting.topicName.empty() && (waiting.from != source.end() || waiting.until <= now))
+            answerRead(waiting.exchange, source, waiting.from);
         else
             kept.push_back(std::move(waiting));
     }
@@ -298,6 +387,8 @@
 void site_store::tick()
 {
     const core::time_point now = core::boot_clock::now();
+    if (!mRestore.lost.empty() && mRestore.rewritesAt <= now)
+        rewriteLost();
     const auto silence = std::chrono::milliseconds(mOptions.heartbeatMs) * cSilentIntervals;
     for (auto entry = mHeartbeats.begin(); entry != mHeartbeats.end();) {
         if (now - entry->second < silence) {
