Keep claims that a restored store has lost, and let fences grow over restores

After a restore of the store, holders gave orders with fences below those that their engines had seen, which engines that require fences refuse; a claim that the copy lacked counted as free, so that another instance could take the engine while its holder still gave orders.

A fence is now era and offset. A claim of an earlier era is kept until its holder, which claims again, or the usual silence replaces it. An instance that started since the restore does not know such a claim; that remains open.

--- a/bench/soak_bench.cpp
+++ b/bench/soak_bench.cpp
@@ -170,7 +170,7 @@
         const std::string instance = pickName("edge-");
         const std::string endpoint = pickName(pick(2) == 0 ? "engine-" : "app-");
         const std::chrono::milliseconds length(200 + pick(3500));
-        switch (pick(16)) {
+        switch (pick(17)) {
         case 0:
             stopInstance(
                 instance, "killed",
@@ -265,6 +265,9 @@
         case 14:
             evacuate();
             break;
+        case 15:
+            restoreStore();
+            break;
         default:
             note("version named, reload");
             mFleet.nameVersion("a" + std::to_string(pick(4)), ++mAdapterVersion);
@@ -273,6 +276,17 @@
         }
     }
 
+    /// The store comes back from an older copy; later the operator writes again what it lacks.
+    void restoreStore()
+    {
+        note("store restored from an older copy");
+        const std::chrono::milliseconds age(500 + pick(6000));
+        const std::chrono::milliseconds away(50 + pick(600));
+        const std::chrono::milliseconds rewrite(100 + pick(1500));
+        mFleet.restoreStore(age, away, rewrite);
+        later(away + rewrite, [this, outage = addOutage("")] { endOutage("", outage); });
+    }
+
     /// Evacuates a failure domain for a time that exceeds the bound.
     void evacuate()
     {
--- a/corneltally/fleet/fleet_records.cpp
+++ b/corneltally/fleet/fleet_records.cpp
@@ -15,6 +15,15 @@
 constexpr std::string_view cMemberPrefix = "instance/";
 constexpr std::string_view cClaimPrefix = "engine/";
 
+/// A fence is the era and, in so many lower bits, the offset. Readers that take numbers for
+/// floating point keep all digits of 53 bits.
+constexpr unsigned cFenceOffsetBits = 40;
+
+std::uint64_t fenceOf(const store::position &inPosition)
+{
+    return (inPosition.era() << cFenceOffsetBits) + inPosition.offset() + 1;
+}
+
 std::optional<std::string> nameAfterPrefix(std::string_view inPrefix, const std::string &inKey)
 {
     if (!inKey.starts_with(inPrefix))
@@ -93,10 +102,11 @@
     return claim{.instance = core::readText(value, "instance"),
                  .machine = core::readText(value, "machine"),
                  .incarnation = core::readCount(value, "incarnation"),
-                 .fence = inRecord.position.offset() + 1,
+                 .fence = fenceOf(inRecord.position),
                  .failureDomain = core::readText(value, "failure_domain"),
                  .followsOther = value.contains("order_from"),
-                 .orderFrom = core::time_point(core::duration(orderFrom))};
+                 .orderFrom = core::time_point(core::duration(orderFrom)),
+                 .era = inRecord.position.era()};
 }
 
 } // namespace corneltally::fleet
--- a/corneltally/fleet/fleet_records.h
+++ b/corneltally/fleet/fleet_records.h
@@ -38,7 +38,7 @@
 std::optional<std::string> claimedEngine(const store::record &inRecord);
 
 /// Decode the value of a record; nothing if it has none or is damaged. The fence of a claim is
-/// derived from the offset of its record.
+/// derived from the position of its record, and grows with it.
 std::optional<member> decodeMember(const store::record &inRecord);
 std::optional<claim> decodeClaim(const store::record &inRecord);
 
--- a/corneltally/fleet/holder_claims.cpp
+++ b/corneltally/fleet/holder_claims.cpp
@@ -74,10 +74,12 @@
         mFirstConfirmed = inStartedAt;
 }
 
-void holder_claims::keepOnly(const std::set<std::string> &inEngines)
+void holder_claims::keepOnly(const std::set<std::string> &inEngines, std::uint64_t inEra)
 {
-    std::erase_if(mEngines,
-                  [&](const auto &inEntry) { return !inEngines.contains(inEntry.first); });
+    mEra = inEra;
+    std::erase_if(mEngines, [&](const auto &inEntry) {
+        return !inEngines.contains(inEntry.first) && inEntry.second.holder.era >= inEra;
+    });
 }
 
 bool holder_claims::holds(std::string_view inEngine) const
@@ -165,8 +167,11 @@
         return claims;
     for (const fleet_node &engine : inEngines) {
         const claim *holder = find(engine.name);
-        if (holds(engine.name))
+        if (holds(engine.name)) {
+            if (holder->era < mEra)
+                claims.push_back(engine.name);
             continue;
+        }
         // After a restart, a machine takes back its engines without waiting.
         if (holder != nullptr && holder->machine == mSelf.machine) {
             claims.push_back(engine.name);
--- a/corneltally/fleet/holder_claims.h
+++ b/corneltally/fleet/holder_claims.h
@@ -64,6 +64,8 @@
     /// Until when, at most, in the boot time of the holder's machine; zero if the claim was made by
     /// another machine.
     core::time_point orderFrom = {};
+    /// Era of the store whose record this is.
+    std::uint64_t era = 0;
 
     friend auto operator<=>(const claim &, const claim &) = default;
 };
@@ -123,8 +125,10 @@
     /// Invalidates the last read of the claims, for example after the process was suspended.
     void invalidateRead() { mConfirmedAt = {}; }
 
-    /// Drops the claims on all engines except these.
-    void keepOnly(const std::set<std::string> &inEngines);
+    /// Drops the claims on all engines except these, which are all that the store has in an era. A
+    /// claim of an earlier era stays, since its holder does not know yet that the store has lost
+    /// it.
+    void keepOnly(const std::set<std::string> &inEngines, std::uint64_t inEra);
 
     /// Whether this instance may give orders now. Must be checked immediately before each order.
     bool mayOrder(std::string_view inEngine, core::time_point inNow) const;
@@ -157,7 +161,8 @@
     /// Sets the other instances that may claim the engines of live instances of this domain.
     void setMembers(std::vector<std::string> inMembers) { mMembers = std::move(inMembers); }
 
-    /// Returns which of the existing engines this instance should claim after a fresh read.
+    /// Returns which of the existing engines this instance should claim after a fresh read: free
+    /// ones, and its own whose claims the store has lost.
     std::vector<std::string> enginesToClaim(const std::vector<fleet_node> &inEngines,
                                             const std::vector<fleet_node> &inLiveInstances,
                                             core::time_point inNow) const;
@@ -204,6 +209,8 @@
     std::map<std::string, core::time_point, std::less<>> mLastReceived;
     std::map<std::string, core::time_point, std::less<>> mLiveReports;
     std::vector<std::string> mMembers;
+    /// Era of the claims that were read last.
+    std::uint64_t mEra = 0;
     core::time_point mConfirmedAt;
     std::optional<core::time_point> mRecordedAt;
     std::optional<core::time_point> mFirstConfirmed;
--- a/corneltally/orders/order_service.cpp
+++ b/corneltally/orders/order_service.cpp
@@ -211,7 +211,7 @@
                 {{"endpoint", *engine}, {"holder", claimed->instance}, {"fence", claimed->fence}});
     }
     if (inUpdate.update.complete)
-        mClaims.keepOnly(listed);
+        mClaims.keepOnly(listed, inUpdate.update.end.era());
     mClaims.confirmRead(inUpdate.update.asOf);
     mTopicEnd = inUpdate.update.end;
     mTopicLoaded = true;
--- a/tests/unit/fleet_holder_claims_test.cpp
+++ b/tests/unit/fleet_holder_claims_test.cpp
@@ -1,6 +1,7 @@
 // Guards against two instances that give orders to one engine at the same time, and against engines
 // that no instance may give orders to.
 
+#include "corneltally/fleet/fleet_records.h"
 #include "corneltally/fleet/holder_claims.h"
 
 #include <map>
@@ -174,6 +175,45 @@
     CHECK(claims.find("e1")->instance == "b");
 }
 
+// Failure: a restored store lacks a claim, another instance takes the engine for free and orders
+// while the holder still does, or the holder's fence goes back and the engine refuses its orders.
+TEST_CASE("a claim that the store has lost is not free, and its holder claims again")
+{
+    const auto claimAt = [](const std::string &inInstance, store::position inPosition) {
+        store::record record = fleet::claimRecord(
+            "e1", claimOf(inInstance, inInstance == "a" ? "10.0.0.1" : "10.0.0.2", 7, 0));
+        record.position = inPosition;
+        return fleet::decodeClaim(record).value();
+    };
+    fleet::holder_claims holder({}, cSelf, "north");
+    fleet::holder_claims other({}, claimOf("b", "10.0.0.2", 7, 0), "north");
+    const std::vector<fleet::fleet_node> live{{"a", "north"}, {"b", "north"}};
+    for (fleet::holder_claims *claims : {&holder, &other}) {
+        claims->setRecorded(cStart);
+        claims->confirmRead(cStart);
+        claims->applyClaim("e1", claimAt("a", {1, 90}), cStart);
+        claims->keepOnly({"e1"}, 1);
+        claims->messageReceived(claims == &holder ? "b" : "a", cStart + 1s);
+        CHECK(claims->enginesToClaim(cEngine, live, cStart + 1s).empty());
+        claims->keepOnly({}, 2);
+    }
+    CHECK(holder.mayOrder("e1", cStart + 1s));
+    CHECK(holder.enginesToClaim(cEngine, live, cStart + 1s) == std::vector<std::string>{"e1"});
+    CHECK(other.enginesToClaim(cEngine, live, cStart + 1s).empty());
+    const std::uint64_t before = holder.find("e1")->fence;
+    for (fleet::holder_claims *claims : {&holder, &other}) {
+        claims->applyClaim("e1", claimAt("a", {2, 3}), cStart + 2s);
+        CHECK(claims->find("e1")->fence > before);
+        CHECK(claims->enginesToClaim(cEngine, live, cStart + 2s).empty());
+    }
+    CHECK(holder.mayOrder("e1", cStart + 2s));
+    // A holder that has ended does not claim again; its claim then lapses as any other.
+    other.keepOnly({}, 3);
+    CHECK(other.enginesToClaim(cEngine, {{"b", "north"}}, cStart + 3s).empty());
+    CHECK(other.enginesToClaim(cEngine, {{"b", "north"}}, cStart + 9s)
+          == std::vector<std::string>{"e1"});
+}
+
 TEST_CASE("a claim needs a fresh read, and only recent reports of all members count as live")
 {
     fleet::holder_claims claims({}, cSelf, "north");
