Hold back entries of a restored store from before an endpoint's departure

An endpoint that leaves or is gone got requests again after a restore of the store, since the copy had its entry of before. Such an entry, of the same start, is applied only if the store still has it after the 2 s in which endpoints write theirs again and those of ended ones lapse.

catalog_restore_test ("from before a departure") fails without it: all three entries were in use at once.

--- a/corneltally/catalog/catalog_service.h
+++ b/corneltally/catalog/catalog_service.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "corneltally/catalog/catalog_messages.h"
+#include "corneltally/catalog/endpoint_departures.h"
 #include "corneltally/catalog/evacuation_messages.h"
 #include "corneltally/catalog/evacuation_tracker.h"
 #include "corneltally/catalog/operator_records.h"
@@ -440,18 +441,26 @@
         const bool mayReturn = core::boot_clock::now() - mStoreReturnedAt < cReturnWindow;
         std::vector<std::string> ids;
         store::topic_update changes{.from = inUpdate.from, .end = inUpdate.end};
+        if (inUpdate.complete)
+            mOutdatedEntries.clear();
         for (const store::record &record : inUpdate.records) {
+            mOutdatedEntries.erase(record.key);
             if (isChanged(record))
                 changes.records.push_back(record);
             if (!record.value) {
                 mEntryValues.erase(record.key);
+                if (!mayReturn)
+                    mDepartures.entryRemoved(record.key, core::boot_clock::now());
                 core::logEvent(core::log_level::info, "endpoint_removed",
                                {{"endpoint", record.key}, {"may_return", mayReturn}});
                 mRegistry.broadcast(endpoint_removed{record.key, mayReturn});
                 continue;
             }
             ids.push_back(record.key);
-            applyEndpoint(record);
+            if (inUpdate.afterRestore && isOutdatedEntry(record))
+                mOutdatedEntries.insert_or_assign(record.key, record);
+            else
+                applyEndpoint(record);
         }
         if (!inUpdate.complete) {
             if (mReader.reads)
@@ -464,6 +473,24 @@
         mRegistry.broadcast(endpoints_listed{std::move(ids), mayReturn});
     }
 
+    /// Whether an entry of a restored store is from before its endpoint said that it leaves, or was
+    /// gone.
+    bool isOutdatedEntry(const store::record &inRecord) const
+    {
+        const auto decoded = platform::decodeEndpoint(inRecord.key, *inRecord.value);
+        return decoded && mDepartures.isOutdated(*decoded);
+    }
+
+    /// Applies the entries that were taken for outdated after a restore, and that the store still
+    /// has although their endpoints have had time to write them again or to lapse.
+    void applyOutdatedEntries(core::time_point inNow)
+    {
+        if (inNow - mStoreReturnedAt < cRewriteTime)
+            return;
+        for (const auto &[id, record] : std::exchange(mOutdatedEntries, {}))
+            applyEndpoint(record);
+    }
+
     bool isChanged(const store::record &inRecord) const
     {
         const auto known = mEntryValues.find(inRecord.key);
@@ -479,6 +506,7 @@
         value = *inRecord.value;
         auto decoded = platform::decodeEndpoint(inRecord.key, value);
         if (decoded) {
+            mDepartures.entryApplied(*decoded, core::boot_clock::now());
             if (decoded->leaving && mLeaving.insert(inRecord.key).second)
                 core::logEvent(
                     core::log_level::info, "endpoint_leaving",
@@ -515,6 +543,7 @@
     void checkStore()
     {
         mEvacuations.update(core::boot_clock::now());
+        applyOutdatedEntries(core::boot_clock::now());
         const bool failing = mEndpoints.isFailing();
         if (failing != mStoreFailing) {
             mStoreFailing = failing;
@@ -533,6 +562,9 @@
     /// Entries that expired while the store was unavailable are renewed within this time after its
     /// return.
     static constexpr core::duration cReturnWindow = std::chrono::seconds(1);
+    /// Endpoints whose entries a restored store lacks write them again within this time, and the
+    /// entries of those that are gone lapse.
+    static constexpr core::duration cRewriteTime = std::chrono::seconds(2);
 
     kernel::service_registry &mRegistry;
     core::metrics &mMetrics;
@@ -551,6 +583,9 @@
     std::uint64_t mEra = 0;
     std::map<std::string, std::string, std::less<>> mEntryValues;
     std::set<std::string> mLeaving;
+    endpoint_departures mDepartures;
+    /// Entries of a restored store that are not applied yet, by endpoint.
+    std::map<std::string, store::record, std::less<>> mOutdatedEntries;
     core::time_point mStoreReturnedAt{-std::chrono::hours(1)};
     bool mStoreUnavailable = false;
     bool mStoreFailing = false;
--- a/tests/unit/catalog_restore_test.cpp
+++ b/tests/unit/catalog_restore_test.cpp
@@ -249,6 +249,45 @@
     CHECK(instance.listings.back().mayReturn);
 }
 
+// Failure: an endpoint that leaves, or is gone, gets requests again since the copy has its entry of
+// before.
+TEST_CASE("entries that a restored store has from before a departure are not used at once")
+{
+    restored_catalog instance;
+    std::vector<std::string> events;
+    instance.registry.handle<catalog::endpoint_changed>(
+        "test", [&events](const catalog::endpoint_changed &inChanged) {
+            events.push_back(inChanged.entry.id + (inChanged.entry.leaving ? " leaves" : " ready"));
+        });
+    const std::string leaving
+        = R"({"service":"s","address":"10.0.0.9:80","zone":"z","capacity":1,"state":"draining"})";
+    const std::string restarted
+        = R"({"service":"s","address":"10.0.0.9:81","zone":"z","capacity":1,"state":"ready"})";
+    for (const char *id : {"gone", "leaving", "other", "stays"})
+        instance.store->put(platform::cEndpointTopic, id, cEntry);
+    instance.start();
+    instance.store->put(platform::cEndpointTopic, "leaving", leaving);
+    instance.store->put(platform::cEndpointTopic, "gone", std::nullopt);
+    instance.store->put(platform::cEndpointTopic, "other", std::nullopt);
+    instance.run(100ms);
+    events.clear();
+    instance.store->topics[platform::cEndpointTopic].restore(4);
+    instance.run(100ms);
+    CHECK(events.empty());
+    // One writes its entry again, another one starts anew, and the third is gone.
+    instance.store->put(platform::cEndpointTopic, "leaving", leaving);
+    instance.store->put(platform::cEndpointTopic, "other", restarted);
+    instance.store->put(platform::cEndpointTopic, "gone", std::nullopt);
+    instance.run(3s);
+    CHECK(events == std::vector<std::string>{"other ready"});
+    // An entry that is still there after that time is in force.
+    instance.store->put(platform::cEndpointTopic, "other", std::nullopt);
+    instance.run(100ms);
+    instance.store->topics[platform::cEndpointTopic].restore(7);
+    instance.run(3s);
+    CHECK(events == std::vector<std::string>{"other ready", "other ready"});
+}
+
 // Failure: an append that was decided on records of before a restore takes effect after others.
 TEST_CASE("an append is refused if the store was restored since the read that it rests on")
 {
