--- a/tests/integration/restore_play.cpp
+++ b/tests/integration/restore_play.cpp
@@ -35,7 +35,8 @@
             .instances = inOptions.instances,
             .engines = 1,
             .applications = 2,
-            .failureDomains = {"north", "south", "west"}};
+            .failureDomains = {"north", "south", "west"},
+            .proxied = true};
 }
 
 std::string pathOf(std::size_t inRoute)
@@ -77,7 +78,7 @@
         mCallers.emplace_back([this, name, seed = mRandom()] { check(name, seed); });
     steady::time_point nextVersion = mBegan;
     steady::time_point nextRestore = mBegan + between(4000, 9000);
-    steady::time_point nextKill = mBegan + between(4000, 8000);
+    steady::time_point nextDisturbance = mBegan + between(2000, 6000);
     while (steady::now() < mBegan + mOptions.time) {
         const steady::time_point now = steady::now();
         if (now >= nextVersion && now >= mStoreReturnsAt) {
@@ -88,12 +89,14 @@
             restoreStore();
             nextRestore = now + between(4000, 9000);
         }
-        if (now >= nextKill && mOptions.kills) {
-            restartInstance();
-            nextKill = now + between(4000, 8000);
+        if (now >= nextDisturbance) {
+            disturbInstance();
+            nextDisturbance = now + between(2000, 6000);
         }
+        endDisturbances(now);
         std::this_thread::sleep_for(10ms);
     }
+    endDisturbances(steady::time_point::max());
     mStops = true;
     for (std::thread &caller : std::exchange(mCallers, {}))
         caller.join();
@@ -134,21 +137,63 @@
     ++mRestores;
 }
 
-void restore_play::restartInstance()
+/// Kills or pauses an instance, or cuts it off from the store, for a time.
+void restore_play::disturbInstance()
 {
     const std::vector<std::string> names = mSite.names("edge-");
-    const std::string &name = names[mRandom() % names.size()];
-    {
-        const std::lock_guard lock(mMutex);
-        mInstances.at(name).port = 0;
+    const std::string name = names[mRandom() % names.size()];
+    const std::size_t kind = mRandom() % 4;
+    const steady::time_point end = steady::now() + between(300, 4000);
+    if (mEnds.contains(name))
+        return;
+    ++mDisturbances;
+    setCalm(name, steady::time_point::max());
+    if (kind == 0) {
+        mSite.process(name).pause();
+        mEnds[name] = {end, [this, name] { mSite.process(name).resume(); }};
+    } else if (kind == 1) {
+        const std::array<std::string, 3> faults{"cut", "freeze", "half_open"};
+        mSite.linkFault({name + ">store"}, faults[mRandom() % faults.size()]);
+        mEnds[name] = {end, [this, name] { mSite.linkFault({name + ">store"}, "heal"); }};
+    } else {
+        {
+            // Its port may become that of another process.
+            const std::lock_guard lock(mMutex);
+            mInstances.at(name).port = 0;
+        }
+        mSite.process(name).kill();
+        // Most are started again at once, while the others still know nothing of the end.
+        mEnds[name] = {kind == 2 ? steady::now() : end, [this, name] { restart(name); }};
+    }
+}
+
+void restore_play::endDisturbances(steady::time_point inNow)
+{
+    for (auto next = mEnds.begin(); next != mEnds.end();) {
+        if (next->second.first > inNow) {
+            ++next;
+            continue;
+        }
+        next->second.second();
+        setCalm(next->first, steady::now());
+        next = mEnds.erase(next);
     }
-    const bool isStarted = mSite.restart(name);
+}
+
+void restore_play::restart(const std::string &inInstance)
+{
+    const bool isStarted = mSite.restart(inInstance);
     const std::lock_guard lock(mMutex);
     if (!isStarted)
-        mViolations.push_back(name + " did not start again");
-    instance_state &state = mInstances.at(name);
-    state = {mSite.process(name).port("callers"), steady::now(), state.process + 1};
-    ++mKills;
+        mViolations.push_back(inInstance + " did not start again");
+    instance_state &state = mInstances.at(inInstance);
+    state = {mSite.process(inInstance).port("callers"), steady::now(), state.process + 1};
+}
+
+void restore_play::setCalm(const std::string &inInstance, steady::time_point inSince)
+{
+    const std::lock_guard lock(mMutex);
+    mInstances.at(inInstance).calmSince = inSince;
 }
 
 /// Sends requests for temporary routes to an instance until the play ends.
@@ -210,7 +255,8 @@
         state.shown = std::max(state.shown, inRoute.added);
     else if (isRemovalShown)
         state.shown = std::max(state.shown, inRoute.removed);
-    if (inSentAt < state.startedAt + cStableTime || inSentAt < mStoreReturnsAt + cStableTime)
+    if (state.calmSince > inSentAt || inSentAt - state.calmSince < cStableTime
+        || inSentAt < mStoreReturnsAt + cStableTime)
         return;
     const bool isAdded = inSentAt > inRoute.addedAt && inSentAt - inRoute.addedAt > cApplyTime;
     const bool isRemoved
--- a/tests/integration/restore_play.h
+++ b/tests/integration/restore_play.h
@@ -6,11 +6,13 @@
 #include <atomic>
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <mutex>
 #include <random>
 #include <string>
 #include <thread>
+#include <utility>
 #include <vector>
 
 /// What a play does beside the changes of the configuration.
@@ -20,13 +22,12 @@
     std::chrono::milliseconds time = std::chrono::seconds(25);
     /// Greatest age of the copies that the store comes back from; zero for no restores.
     std::chrono::milliseconds maxAge = std::chrono::seconds(9);
-    /// Whether instances are killed and started again.
-    bool kills = true;
     int instances = 4;
 };
 
 /// Plays changes of the configuration against forwarding instances while the store comes back from
-/// older copies and instances are killed. Callers of each instance check which routes it serves.
+/// older copies and instances are killed, paused or cut off from the store. Callers of each
+/// instance check which routes it serves.
 class restore_play
 {
 public:
@@ -40,7 +41,7 @@
     /// Requests whose route told which version was in force.
     std::size_t checked() const { return mChecked; }
     std::size_t restores() const { return mRestores; }
-    std::size_t kills() const { return mKills; }
+    std::size_t disturbances() const { return mDisturbances; }
     /// Requests that were handled as only an older version allows.
     const std::vector<std::string> &violations() const { return mViolations; }
 
@@ -58,7 +59,8 @@
     struct instance_state
     {
         unsigned short port = 0;
-        steady::time_point startedAt;
+        /// Since when it has run and reached the store.
+        steady::time_point calmSince;
         /// Counts the processes of this name.
         int process = 0;
         /// Version that an answer of this process has shown to be in force.
@@ -68,7 +70,10 @@
     std::chrono::milliseconds between(int inFromMs, int inToMs);
     void publishNext();
     void restoreStore();
-    void restartInstance();
+    void disturbInstance();
+    void endDisturbances(steady::time_point inNow);
+    void restart(const std::string &inInstance);
+    void setCalm(const std::string &inInstance, steady::time_point inSince);
     void check(const std::string &inInstance, std::uint64_t inSeed);
     void judge(const std::string &inInstance, const instance_state &inAtStart,
                const temporary_route &inRoute, steady::time_point inSentAt, int inStatus);
@@ -88,6 +93,8 @@
     std::uint64_t mVersion = 1;
     std::size_t mChecked = 0;
     std::size_t mRestores = 0;
-    std::size_t mKills = 0;
+    std::size_t mDisturbances = 0;
+    /// What ends the disturbance of an instance, and when.
+    std::map<std::string, std::pair<steady::time_point, std::function<void()>>> mEnds;
     std::vector<std::string> mViolations;
 };
--- a/tests/integration/site_restore_test.cpp
+++ b/tests/integration/site_restore_test.cpp
@@ -1,5 +1,6 @@
 // Guards against configurations that are not in force, or that revert to older ones, after the
-// store came back from an older copy. Further plays: CORNELTALLY_RESTORE_SEEDS=1-50.
+// store came back from an older copy. Further plays: CORNELTALLY_RESTORE_SEEDS=1-50, and
+// CORNELTALLY_RESTORE_INSTANCES=30.
 
 #include "tests/integration/restore_play.h"
 
@@ -34,9 +35,9 @@
 {
     restore_play play(inOptions);
     play.run();
-    std::printf("seed %llu: %zu requests checked, %zu restores, %zu kills, %zu violations\n",
+    std::printf("seed %llu: %zu requests checked, %zu restores, %zu disturbances, %zu violations\n",
                 static_cast<unsigned long long>(inOptions.seed), play.checked(), play.restores(),
-                play.kills(), play.violations().size());
+                play.disturbances(), play.violations().size());
     std::fflush(stdout);
     CAPTURE(inOptions.seed);
     if (!play.violations().empty()) {
@@ -53,11 +54,12 @@
 TEST_CASE("configurations come into force while the store comes back from older copies")
 {
     const seed_range seeds = chosenSeeds();
+    const char *instances = std::getenv("CORNELTALLY_RESTORE_INSTANCES");
     for (std::uint64_t seed = seeds.first; seed <= seeds.last; ++seed)
-        checkPlay({.seed = seed});
+        checkPlay({.seed = seed, .instances = instances == nullptr ? 4 : std::atoi(instances)});
 }
 
-TEST_CASE("configurations come into force while instances are killed")
+TEST_CASE("configurations come into force while instances are killed, paused and cut off")
 {
     checkPlay({.seed = 100, .time = std::chrono::seconds(12), .maxAge = {}});
 }
