Let the reader of a failure domain claim again what a restored store has lost

The instances beside the reader wait up to two seconds with their own claims, in which an instance that started since the restore may take their engines for free. One append of the reader serves all of them at once.

--- a/corneltally/fleet/holder_claims.cpp
+++ b/corneltally/fleet/holder_claims.cpp
@@ -205,6 +205,18 @@
         return claims;
     for (const fleet_node &engine : inEngines) {
         const claim *holder = find(engine.name);
+        if (holder != nullptr && holder->era < mEra) {
+            // The store has lost the claim; one append for all is sooner than one of each holder.
+            const bool isLive
+                = std::ranges::any_of(inLiveInstances, [holder](const live_candidate &inCandidate) {
+                      return inCandidate.name == holder->instance
+                          && inCandidate.incarnation == holder->incarnation;
+                  });
+            if (isLive && holder->failureDomain == mFailureDomain) {
+                claims.push_back({engine.name, *holder});
+                continue;
+            }
+        }
         // Engines of a restarted instance stay with it; free ones go to the preferred instance.
         const live_candidate *chosen = nullptr;
         if (holder != nullptr && holder->machine != mSelf.machine) {
