--- a/corneltally/catalog/catalog_service.h
+++ b/corneltally/catalog/catalog_service.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "corneltally/catalog/catalog_messages.h"
-#include "corneltally/catalog/endpoint_departures.h"
+#include "corneltally/catalog/endpoint_entries.h"
 #include "corneltally/catalog/evacuation_messages.h"
 #include "corneltally/catalog/evacuation_tracker.h"
 #include "corneltally/catalog/operator_records.h"
@@ -19,7 +19,6 @@
 #include <iterator>
 #include <map>
 #include <memory>
-#include <set>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -101,6 +100,7 @@
                               [this] { readMissingRecords(mCatchUp.reportedEnd()); })
         , mCatchUp(inOptions.instance, inOptions.catchUp)
         , mEvacuations(ioRegistry, ioMetrics)
+        , mEntries(ioRegistry, ioMetrics)
     {
         mRegistry.handle<fleet_topic_append>(
             cName, [this](const fleet_topic_append &inAppend) { append(inAppend); });
@@ -431,95 +431,15 @@
     void endpointsUpdated(const store::topic_update &inUpdate)
     {
         eraObserved(inUpdate.end.era(), mOptions.endpointTopic);
-        if (inUpdate.afterOutage || inUpdate.afterRestore)
-            mStoreReturnedAt = core::boot_clock::now();
         // Reads that were waiting at the store before the failure may never be answered.
         if (inUpdate.afterFailure) {
             mOperator.restart();
             mFleet.restart();
         }
-        const bool mayReturn = core::boot_clock::now() - mStoreReturnedAt < cReturnWindow;
-        std::vector<std::string> ids;
         store::topic_update changes{.from = inUpdate.from, .end = inUpdate.end};
-        if (inUpdate.complete)
-            mOutdatedEntries.clear();
-        for (const store::record &record : inUpdate.records) {
-            mOutdatedEntries.erase(record.key);
-            if (isChanged(record))
-                changes.records.push_back(record);
-            if (!record.value) {
-                mEntryValues.erase(record.key);
-                if (!mayReturn)
-                    mDepartures.entryRemoved(record.key, core::boot_clock::now());
-                core::logEvent(core::log_level::info, "endpoint_removed",
-                               {{"endpoint", record.key}, {"may_return", mayReturn}});
-                mRegistry.broadcast(endpoint_removed{record.key, mayReturn});
-                continue;
-            }
-            ids.push_back(record.key);
-            if (inUpdate.afterRestore && isOutdatedEntry(record))
-                mOutdatedEntries.insert_or_assign(record.key, record);
-            else
-                applyEndpoint(record);
-        }
-        if (!inUpdate.complete) {
-            if (mReader.reads)
-                mRegistry.broadcast(endpoint_records_relay{std::move(changes)});
-            return;
-        }
-        std::erase_if(mEntryValues, [&](const auto &inEntry) {
-            return std::ranges::find(ids, inEntry.first) == ids.end();
-        });
-        mRegistry.broadcast(endpoints_listed{std::move(ids), mayReturn});
-    }
-
-    /// Whether an entry of a restored store is from before its endpoint said that it leaves, or was
-    /// gone.
-    bool isOutdatedEntry(const store::record &inRecord) const
-    {
-        const auto decoded = platform::decodeEndpoint(inRecord.key, *inRecord.value);
-        return decoded && mDepartures.isOutdated(*decoded);
-    }
-
-    /// Applies the entries that were taken for outdated after a restore, and that the store still
-    /// has although their endpoints have had time to write them again or to lapse.
-    void applyOutdatedEntries(core::time_point inNow)
-    {
-        if (inNow - mStoreReturnedAt < cRewriteTime)
-            return;
-        for (const auto &[id, record] : std::exchange(mOutdatedEntries, {}))
-            applyEndpoint(record);
-    }
-
-    bool isChanged(const store::record &inRecord) const
-    {
-        const auto known = mEntryValues.find(inRecord.key);
-        return known == mEntryValues.end() ? inRecord.value.has_value()
-                                           : inRecord.value != known->second;
-    }
-
-    void applyEndpoint(const store::record &inRecord)
-    {
-        std::string &value = mEntryValues[inRecord.key];
-        if (value == *inRecord.value)
-            return;
-        value = *inRecord.value;
-        auto decoded = platform::decodeEndpoint(inRecord.key, value);
-        if (decoded) {
-            mDepartures.entryApplied(*decoded, core::boot_clock::now());
-            if (decoded->leaving && mLeaving.insert(inRecord.key).second)
-                core::logEvent(
-                    core::log_level::info, "endpoint_leaving",
-                    {{"endpoint", inRecord.key}, {"position", inRecord.position.toString()}});
-            mRegistry.broadcast(endpoint_changed{std::move(decoded).value()});
-            return;
-        }
-        // An entry that can't be decoded, for example from another writer, describes no usable
-        // endpoint.
-        mMetrics.count("endpoint_entries_invalid_total");
-        core::logEvent(core::log_level::warning, "endpoint_entry_invalid",
-                       {{"endpoint", inRecord.key}, {"reason", decoded.reason().message}});
-        mRegistry.broadcast(endpoint_removed{inRecord.key, false});
+        changes.records = mEntries.apply(inUpdate, core::boot_clock::now());
+        if (!inUpdate.complete && mReader.reads)
+            mRegistry.broadcast(endpoint_records_relay{std::move(changes)});
     }
 
     void append(const fleet_topic_append &inAppend)
@@ -543,7 +463,7 @@
     void checkStore()
     {
         mEvacuations.update(core::boot_clock::now());
-        applyOutdatedEntries(core::boot_clock::now());
+        mEntries.update(core::boot_clock::now());
         const bool failing = mEndpoints.isFailing();
         if (failing != mStoreFailing) {
             mStoreFailing = failing;
@@ -559,13 +479,6 @@
                        unavailable ? "store_lost" : "store_regained");
     }
 
-    /// Entries that expired while the store was unavailable are renewed within this time after its
-    /// return.
-    static constexpr core::duration cReturnWindow = std::chrono::seconds(1);
-    /// Endpoints whose entries a restored store lacks write them again within this time, and the
-    /// entries of those that are gone lapse.
-    static constexpr core::duration cRewriteTime = std::chrono::seconds(2);
-
     kernel::service_registry &mRegistry;
     core::metrics &mMetrics;
     std::unique_ptr<Client> mClient;
@@ -581,12 +494,7 @@
     std::uint64_t mVersion = 0;
     /// Greatest era of the store of which an answer or another instance told.
     std::uint64_t mEra = 0;
-    std::map<std::string, std::string, std::less<>> mEntryValues;
-    std::set<std::string> mLeaving;
-    endpoint_departures mDepartures;
-    /// Entries of a restored store that are not applied yet, by endpoint.
-    std::map<std::string, store::record, std::less<>> mOutdatedEntries;
-    core::time_point mStoreReturnedAt{-std::chrono::hours(1)};
+    endpoint_entries mEntries;
     bool mStoreUnavailable = false;
     bool mStoreFailing = false;
     reader_changed mReader;
--- a/corneltally/store/record.h
+++ b/corneltally/store/record.h
@@ -33,7 +33,7 @@
 
     status outcome = status::unavailable;
     std::vector<record> records;
-    /// End of the topic: the offset after its last record.
+    /// End of the topic: the position after its last record.
     position end;
     /// Whether there are more keys after the last one; used only for reads of newest records.
     bool hasMore = false;
