--- a/corneltally/catalog/operator_records.cpp
+++ b/corneltally/catalog/operator_records.cpp
@@ -13,7 +13,8 @@
 
 bool operator_records::add(const store::record &inRecord, std::uint64_t inVersion)
 {
-    const auto [known, isNew] = mRecords.try_emplace(inRecord.key, inRecord, inVersion);
+    const auto [known, isNew]
+        = mRecords.try_emplace(inRecord.key, versioned_record{inRecord, inVersion});
     if (isNew)
         return true;
     versioned_record &entry = known->second;
--- a/tests/integration/restore_play.cpp
+++ b/tests/integration/restore_play.cpp
@@ -141,7 +141,7 @@
 void restore_play::disturbInstance()
 {
     const std::vector<std::string> names = mSite.names("edge-");
-    const std::string name = names[mRandom() % names.size()];
+    const std::string &name = names[mRandom() % names.size()];
     const std::size_t kind = mRandom() % 4;
     const steady::time_point end = steady::now() + between(300, 4000);
     if (mEnds.contains(name))
--- a/tests/unit/fleet_domain_links_test.cpp
+++ b/tests/unit/fleet_domain_links_test.cpp
@@ -253,7 +253,8 @@
         }
         const std::vector<std::string> targets = self.links->targets(now());
         if (!targets.empty()) {
-            sent_summary built{self.builder->build({{0, 1}}, self.links->heardDomains(now()), now()), {}};
+            sent_summary built{
+                self.builder->build({{0, 1}}, self.links->heardDomains(now()), now()), {}};
             for (const fleet::summarized_instance &entry : built.body.instances)
                 built.listed.insert(entry.instance);
             const std::size_t bytes = fleet::encode(built.body, now()).size();
