--- a/corneltally/fleet/holder_claims.cpp
+++ b/corneltally/fleet/holder_claims.cpp
@@ -74,10 +74,12 @@
         mFirstConfirmed = inStartedAt;
 }
 
-void holder_claims::keepOnly(const std::set<std::string> &inEngines)
+void holder_claims::keepOnly(const std::set<std::string> &inEngines, std::uint64_t inEra)
 {
-    std::erase_if(mEngines,
-                  [&](const auto &inEntry) { return !inEngines.contains(inEntry.first); });
+    mEra = inEra;
+    std::erase_if(mEngines, [&](const auto &inEntry) {
+        return !inEngines.contains(inEntry.first) && inEntry.second.holder.era >= inEra;
+    });
 }
 
 bool holder_claims::holds(std::string_view inEngine) const
@@ -165,8 +167,11 @@
         return claims;
     for (const fleet_node &engine : inEngines) {
         const claim *holder = find(engine.name);
-        if (holds(engine.name))
+        if (holds(engine.name)) {
+            if (holder->era < mEra)
+                claims.push_back(engine.name);
             continue;
+        }
         // After a restart, a machine takes back its engines without waiting.
         if (holder != nullptr && holder->machine == mSelf.machine) {
             claims.push_back(engine.name);
@@ -200,6 +205,18 @@
         return claims;
     for (const fleet_node &engine : inEngines) {
         const claim *holder = find(engine.name);
+        if (holder != nullptr && holder->era < mEra) {
+            // The store has lost the claim; one append for all is sooner than one of each holder.
+            const bool isLive
+                = std::ranges::any_of(inLiveInstances, [holder](const live_candidate &inCandidate) {
+                      return inCandidate.name == holder->instance
+                          && inCandidate.incarnation == holder->incarnation;
+                  });
+            if (isLive && holder->failureDomain == mFailureDomain) {
+                claims.push_back({engine.name, *holder});
+                continue;
+            }
+        }
         // Engines of a restarted instance stay with it; free ones go to the preferred instance.
         const live_candidate *chosen = nullptr;
         if (holder != nullptr && holder->machine != mSelf.machine) {
