--- a/standins/site_store.cpp
+++ b/standins/site_store.cpp
@@ -350,10 +350,11 @@
 void site_store::rewriteLost()
 {
     topic &target = mTopics[platform::cOperatorTopic];
-    for (auto &[key, lost] : std::exchange(mRestore.lost, {})) {
+    for (auto &entry : std::exchange(mRestore.lost, {})) {
+        store::record &lost = entry.second;
         const bool isReplaced
             = std::ranges::any_of(target.records, [&](const store::record &inRecord) {
-                  return inRecord.key == key
+                  return inRecord.key == lost.key
                       && target.times[inRecord.position.offset()] >= mRestore.begunAt;
               });
         if (!isReplaced)
