Keep reading a topic anew when a relay of the era before arrives late

An instance whose topics another one reads found by its own read that the store had been restored, and dropped the reading of the newest records when a relay from before the restore still arrived. Found by reading the diff; the new case of catalog_restore_test fails without the change.

--- a/corneltally/store/topic_follower.h
+++ b/corneltally/store/topic_follower.h
@@ -111,8 +111,7 @@
     {
         if (!mLoaded || isPostponed() || inEra <= std::max(mEraSought, mEnd.era()))
             return;
-        mEraSought = inEra;
-        readAnew();
+        readAnew(inEra);
     }
 
     /// Changes the time that reads wait at the store, including the read in flight.
@@ -237,7 +236,7 @@
             mSnapshotEnd = inResult.end;
             mSnapshotStartedAt = mStartedAt;
         } else if (inResult.era != mSnapshotEnd.era()) {
-            readAnew();
+            readAnew(inResult.era);
             return;
         }
         mPages.insert(mPages.end(), inResult.records.begin(), inResult.records.end());
@@ -262,7 +261,7 @@
         const bool isDone = inResult.outcome == read_result::status::done;
         if (inResult.outcome == read_result::status::expired
             || (isDone && inResult.era > mEnd.era())) {
-            readAnew();
+            readAnew(inResult.era);
             return;
         }
         if (!isDone || isOutdated(inResult)) {
@@ -281,8 +280,10 @@
     /// Whether an answer is of an era that the store has left.
     bool isOutdated(const read_result &inResult) const { return inResult.era < mEnd.era(); }
 
-    void readAnew()
+    /// Reads the newest records of all keys, which are expected to be of an era or a later one.
+    void readAnew(std::uint64_t inEra)
     {
+        mEraSought = std::max(mEraSought, inEra);
         endReadAnew();
         mReadsAnew = true;
         readNext();
@@ -328,7 +329,8 @@
     std::uint64_t mReadNumber = 0;
     /// Position after the last record that was delivered.
     position mEnd;
-    /// Greatest era that others told of and for which the newest records were read.
+    /// Greatest era for which the newest records were asked for. Relays of earlier eras are no
+    /// substitute for them.
     std::uint64_t mEraSought = 0;
     std::string mAfterKey;
     std::vector<record> mPages;
--- a/tests/unit/catalog_restore_test.cpp
+++ b/tests/unit/catalog_restore_test.cpp
@@ -236,6 +236,34 @@
     CHECK(instance.metrics.toText().find("store_era 2") != std::string::npos);
 }
 
+// Failure: an instance whose topics another one reads keeps the records of before a restore until
+// the other one's next relay, or its silence.
+TEST_CASE("a late relay from before a restore does not end the reading of the topic anew")
+{
+    restored_catalog instance;
+    mock_store::topic &fleet = instance.store->topics["keyed.fleet"];
+    instance.store->put("keyed.fleet", "engine/e1", "{}");
+    store::position end;
+    instance.registry.handle<catalog::fleet_topic_updated>(
+        "test",
+        [&end](const catalog::fleet_topic_updated &inUpdated) { end = inUpdated.update.end; });
+    instance.start();
+    instance.registry.broadcast(catalog::reader_changed{.reads = false});
+    instance.run(400ms);
+    REQUIRE(end == store::position(1, 1));
+    const int newestReads = instance.store->newestReads;
+    instance.store->answerTime = 100ms;
+    fleet.restore(0);
+    for (int wait = 0; wait < 100 && instance.store->newestReads == newestReads; ++wait)
+        instance.run(10ms);
+    instance.registry.post(
+        "catalog",
+        catalog::fleet_records_received{
+            {.records = {}, .asOf = core::boot_clock::now(), .from = {1, 1}, .end = {1, 2}}});
+    instance.run(300ms);
+    CHECK(end == store::position(2, 0));
+}
+
 TEST_CASE("endpoints that a restored store lacks may return")
 {
     restored_catalog instance;
