--- a/corneltally/catalog/endpoint_departures.cpp
+++ b/corneltally/catalog/endpoint_departures.cpp
@@ -16,7 +16,6 @@
     const bool wasLeaving = known.isDeparted && known.isOf(inEntry);
     const core::time_point departedAt = wasLeaving ? known.departedAt : inNow;
     known = {inEntry.startedMs, inEntry.address.toString(), departedAt, inEntry.leaving};
-    dropOld(inNow);
 }
 
 void endpoint_departures::entryRemoved(std::string_view inEndpoint, core::time_point inNow)
--- a/corneltally/catalog/endpoint_departures.h
+++ b/corneltally/catalog/endpoint_departures.h
@@ -30,6 +30,9 @@
     /// Whether an entry is older than the departure of the same start of its endpoint.
     bool isOutdated(const engines::endpoint_entry &inEntry) const;
 
+    /// Drops the departures that are older than the retention time.
+    void dropOld(core::time_point inNow);
+
 private:
     struct start
     {
@@ -42,8 +45,6 @@
         bool isOf(const engines::endpoint_entry &inEntry) const;
     };
 
-    void dropOld(core::time_point inNow);
-
     /// The last start of each endpoint that has an entry or departed lately.
     std::map<std::string, start, std::less<>> mStarts;
 };
--- a/corneltally/catalog/endpoint_entries.cpp
+++ b/corneltally/catalog/endpoint_entries.cpp
@@ -58,6 +58,7 @@
 
 void endpoint_entries::update(core::time_point inNow)
 {
+    mDepartures.dropOld(inNow);
     if (inNow - mStoreReturnedAt < cRewriteTime)
         return;
     for (const auto &[id, record] : std::exchange(mOutdated, {}))
--- a/corneltally/catalog/endpoint_entries.h
+++ b/corneltally/catalog/endpoint_entries.h
@@ -35,7 +35,8 @@
     std::vector<store::record> apply(const store::topic_update &inUpdate, core::time_point inNow);
 
     /// Applies the entries that were taken for outdated after a restore, and that the store still
-    /// has although their endpoints have had time to write them again or to lapse.
+    /// has although their endpoints have had time to write them again or to lapse. Forgets what is
+    /// no longer needed for that.
     void update(core::time_point inNow);
 
 private:
